--- /dev/null
+++ b/src/bookkeeping/settings.h
@@ -0,0 +1,74 @@
+/* The platform's settings (TOML) and the operators' own (YAML), checked. */
+#ifndef MV_SETTINGS_H
+#define MV_SETTINGS_H
+#include "constants.h"
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+typedef struct {
+    char host[64]; /* numeric IPv4 */
+    uint16_t port;
+} mv_endpoint;
+
+typedef struct {
+    char name[MV_NAME_SIZE];
+    char area[MV_NAME_SIZE];
+    mv_endpoint back;
+} mv_sibling;
+
+typedef struct {
+    char name[MV_NAME_SIZE];
+    double cpus, cpus_max, gpus, gpus_max; /* 0: none */
+} mv_team;
+
+typedef enum { MV_OBJ_DEADLINE, MV_OBJ_WAIT, MV_OBJ_FINISHED, MV_OBJ_GUARANTEE, MV_OBJ_OTHER }
+    mv_objective_kind;
+
+typedef struct {
+    mv_objective_kind kind;
+    char kind_name[32];
+    char lane[MV_NAME_SIZE]; /* empty: all work */
+    double within_s, share;
+} mv_objective;
+
+/* What operators may tune; every value has a default in constants.h. */
+typedef struct {
+    double image_wait_s;
+    double block_lease_s;
+    double idle_return_s;
+    double boot_factor;
+    unsigned shards;
+    unsigned spare_machines;
+} mv_tunables;
+
+typedef struct {
+    char node_name[MV_NAME_SIZE];
+    char area[MV_NAME_SIZE];
+    mv_endpoint listen, back, cloud, state;
+    mv_sibling *siblings;
+    size_t n_siblings;
+    unsigned count;
+    double clock_off_s;
+    mv_team *teams;
+    size_t n_teams;
+    mv_objective *objectives;
+    size_t n_objectives;
+    double report_s, lease_s, cancel_s;
+    double state_rps, state_write_rps, value_kb;
+    unsigned txn_ops;
+    double cloud_rps, list_lag_s;
+    unsigned max_connections;
+    mv_tunables tune;
+} mv_settings;
+
+/* NULL on failure, with one line that names the field. operator_path may be NULL. */
+mv_settings *mv_settings_load(const char *path, const char *operator_path, char *error,
+                              size_t error_size);
+void mv_settings_free(mv_settings *s);
+const mv_team *mv_settings_team(const mv_settings *s, const char *name);
+/* The time a holder may act after its last word from the state service. */
+double mv_settings_block_lease(const mv_settings *s);
+bool mv_endpoint_parse(const char *text, mv_endpoint *out);
+#endif
--- /dev/null
+++ b/src/coordination/core.c
@@ -0,0 +1,484 @@
+#include "coordination/internal.h"
+
+#include <string.h>
+
+/* --- actions --- */
+
+mv_action *act(mv_core *c, mv_action_kind kind)
+{
+    mv_action *a = g_new0(mv_action, 1);
+    a->kind = kind;
+    a->id = ++c->next_id;
+    g_queue_push_tail(c->actions, a);
+    return a;
+}
+
+mv_action *txn(mv_core *c, bool urgent)
+{
+    mv_action *a = act(c, MV_ACT_TXN);
+    a->conds = g_array_new(FALSE, TRUE, sizeof(mv_cond));
+    a->changes = g_array_new(FALSE, TRUE, sizeof(mv_change));
+    a->urgent = urgent;
+    return a;
+}
+
+void txn_if(mv_action *a, const char *key, uint64_t stamp)
+{
+    mv_cond cond = {.stamp = stamp};
+    g_strlcpy(cond.key, key, sizeof cond.key);
+    g_array_append_val(a->conds, cond);
+}
+
+void txn_set(mv_action *a, const char *key, GBytes *data, bool held)
+{
+    mv_change change = {.data = data, .held = held};
+    g_strlcpy(change.key, key, sizeof change.key);
+    g_array_append_val(a->changes, change);
+}
+
+void txn_remove(mv_action *a, const char *key)
+{
+    txn_set(a, key, NULL, false);
+}
+
+void mv_demand_free(mv_demand *d)
+{
+    if (!d)
+        return;
+    if (d->wants)
+        g_array_unref(d->wants);
+    if (d->notes)
+        g_array_unref(d->notes);
+    g_free(d);
+}
+
+void mv_action_free(mv_action *a)
+{
+    if (!a)
+        return;
+    for (guint i = 0; a->changes && i < a->changes->len; i++) {
+        GBytes *data = g_array_index(a->changes, mv_change, i).data;
+        if (data)
+            g_bytes_unref(data);
+    }
+    g_clear_pointer(&a->conds, g_array_unref);
+    g_clear_pointer(&a->changes, g_array_unref);
+    g_clear_pointer(&a->orders, g_array_unref);
+    g_clear_pointer(&a->hosts, g_ptr_array_unref);
+    mv_demand_free(a->demand);
+    g_free(a);
+}
+
+mv_action *mv_core_next(mv_core *c)
+{
+    return g_queue_pop_head(c->actions);
+}
+
+/* --- small questions --- */
+
+uint64_t session_ok(const mv_core *c)
+{
+    bool ok = c->session && c->now < c->contact + MV_SESSION_TTL_S - MV_SESSION_MARGIN_S;
+    return ok ? c->incarnation : 0;
+}
+
+bool mv_core_in_contact(const mv_core *c, double now)
+{
+    return c->synced && c->session && now < c->contact + MV_SESSION_TTL_S - MV_SESSION_MARGIN_S;
+}
+
+bool mv_core_in_session(const mv_core *c)
+{
+    return c->incarnation != 0;
+}
+
+/* Past the session others may have taken over; the block lease still lets us serve workers, whose
+ * tokens tell whose orders count. */
+bool holds(const mv_core *c, const shard *s)
+{
+    double lease = mv_settings_block_lease(c->conf) * (1 - MV_CLOCK_DRIFT);
+    return s && s->mine && c->now < MIN(c->contact, c->replica_contact) + lease;
+}
+
+bool leads(const mv_core *c)
+{
+    return session_ok(c) && c->leader_stamp && c->leader.incarnation == c->incarnation &&
+           strcmp(c->leader.node, c->conf->node_name) == 0;
+}
+
+bool mv_core_leads(const mv_core *c)
+{
+    return leads(c);
+}
+
+double wall(const mv_core *c)
+{
+    return c->now + c->wall_offset;
+}
+
+/* A transaction in flight blocks a second try, but not for ever: its answer may be lost. */
+bool pending(uint64_t *txn_id, double at, double now)
+{
+    if (*txn_id && now > at + 2.0 * MV_STATE_TIMEOUT_MS / 1000)
+        *txn_id = 0;
+    return *txn_id != 0;
+}
+
+bool mv_core_ready(const mv_core *c)
+{
+    return c->synced && c->types && c->types->len > 0;
+}
+
+/* --- life --- */
+
+static void free_rental(gpointer p)
+{
+    g_free(p);
+}
+
+static void free_shard(gpointer p)
+{
+    shard *s = p;
+    mv_holder_clear(&s->holder);
+    g_hash_table_unref(s->used);
+    g_array_unref(s->adds);
+    mv_demand_free(s->demand);
+    g_free(s);
+}
+
+mv_core *mv_core_new(const mv_settings *conf)
+{
+    mv_core *c = g_new0(mv_core, 1);
+    c->conf = conf;
+    c->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    c->shards = g_ptr_array_new_with_free_func(free_shard);
+    c->teams = g_new0(team, conf->n_teams);
+    for (size_t i = 0; i < conf->n_teams; i++)
+        c->teams[i].conf = &conf->teams[i];
+    c->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, machine_free);
+    c->turn = g_ptr_array_new();
+    c->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
+    c->learnt = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    c->actions = g_queue_new();
+    c->rentals = g_ptr_array_new_with_free_func(free_rental);
+    c->refused = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    c->tombs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    return c;
+}
+
+void mv_core_free(mv_core *c)
+{
+    if (!c)
+        return;
+    mv_action *a;
+    while ((a = g_queue_pop_head(c->actions)))
+        mv_action_free(a);
+    g_queue_free(c->actions);
+    g_ptr_array_unref(c->turn);
+    g_hash_table_unref(c->machines);
+    g_hash_table_unref(c->jobs);
+    g_hash_table_unref(c->nodes);
+    g_ptr_array_unref(c->shards);
+    mv_holder_clear(&c->leader);
+    g_hash_table_unref(c->learnt);
+    g_ptr_array_unref(c->rentals);
+    g_hash_table_unref(c->refused);
+    g_hash_table_unref(c->tombs);
+    g_clear_pointer(&c->list_seen, g_hash_table_unref);
+    g_clear_pointer(&c->release_hosts, g_ptr_array_unref);
+    g_clear_pointer(&c->types, g_array_unref);
+    g_free(c->teams);
+    g_free(c);
+}
+
+/* Rounds of decisions: events only ask for one, and the pause between rounds widens with what
+ * waits, so that under load one round serves many events. */
+void settle(mv_core *c)
+{
+    if (c->want_round && c->now >= c->next_round) {
+        c->want_round = false;
+        place_round(c);
+        double pause = MV_ROUND_S + MV_ROUND_PER_TASK_S * c->counts.waiting;
+        c->next_round = c->now + MIN(pause, MV_ROUND_MAX_S);
+    }
+    flush_commands(c);
+}
+
+static void enter(mv_core *c, double now)
+{
+    c->now = MAX(c->now, now);
+}
+
+void mv_core_tick(mv_core *c, double now, double wall_now)
+{
+    enter(c, now);
+    c->wall_offset = wall_now - now;
+    if (c->synced) {
+        membership_tick(c);
+        holders_tick(c);
+        machines_tick(c);
+        jobs_tick(c);
+        fleet_tick(c);
+    }
+    settle(c);
+}
+
+void mv_core_session(mv_core *c, double now, uint64_t incarnation, double sent)
+{
+    enter(c, now);
+    c->session = incarnation != 0;
+    if (!incarnation)
+        return;
+    c->incarnation = incarnation;
+    c->contact = MAX(c->contact, sent);
+}
+
+void mv_core_followed(mv_core *c, double now, double sent)
+{
+    enter(c, now);
+    c->replica_contact = MAX(c->replica_contact, sent);
+}
+
+/* --- records --- */
+
+static bool indexed(const char *key, const char *prefix, unsigned *index)
+{
+    guint64 n;
+    if (!g_str_has_prefix(key, prefix) ||
+        !g_ascii_string_to_unsigned(key + strlen(prefix), 10, 0, 999, &n, NULL))
+        return false;
+    *index = (unsigned)n;
+    return true;
+}
+
+static void record_leader(mv_core *c, const msgpack_object *o, uint64_t stamp)
+{
+    mv_holder_clear(&c->leader);
+    memset(&c->leader, 0, sizeof c->leader);
+    c->leader_stamp = 0;
+    if (o && mv_holder_parse(o, &c->leader))
+        c->leader_stamp = stamp;
+}
+
+static void apply(mv_core *c, const char *key, const msgpack_object *o, uint64_t stamp)
+{
+    unsigned index;
+    if (strcmp(key, K_LEADER) == 0) {
+        record_leader(c, o, stamp);
+    } else if (strcmp(key, K_TERM) == 0) {
+        if (o && mv_counter_parse(o, &c->term))
+            c->term_stamp = stamp;
+    } else if (strcmp(key, K_TYPES) == 0) {
+        c->types_stamp = o ? stamp : 0;
+        if (o && !c->types)
+            c->types = mv_types_parse(o);
+    } else if (g_str_has_prefix(key, K_NODE)) {
+        record_node(c, key + strlen(K_NODE), o, stamp);
+    } else if (indexed(key, K_SHARD, &index)) {
+        record_shard(c, index, o, stamp);
+    } else if (indexed(key, K_BLOCK, &index)) {
+        record_block(c, index, o, stamp);
+    } else if (indexed(key, K_USED, &index)) {
+        record_used(c, index, o, stamp);
+    } else if (g_str_has_prefix(key, K_JOB)) {
+        record_job(c, key + strlen(K_JOB), o, stamp);
+    } else if (g_str_has_prefix(key, K_PROGRESS)) {
+        record_progress(c, key + strlen(K_PROGRESS), o, stamp);
+    }
+}
+
+void mv_core_record(mv_core *c, double now, const char *key, GBytes *data, uint64_t stamp)
+{
+    enter(c, now);
+    g_autoptr(mv_doc) doc = NULL;
+    if (data) {
+        gsize n;
+        const void *p = g_bytes_get_data(data, &n);
+        doc = mv_doc_parse(p, n);
+    }
+    apply(c, key, doc ? mv_doc_root(doc) : NULL, stamp);
+    c->want_round = true;
+    if (c->synced)
+        settle(c);
+}
+
+void mv_core_synced(mv_core *c, double now)
+{
+    enter(c, now);
+    c->synced = true;
+}
+
+void mv_core_types(mv_core *c, double now, GArray *types)
+{
+    enter(c, now);
+    c->types_id = 0;
+    if (!types)
+        return;
+    g_clear_pointer(&c->types, g_array_unref);
+    c->types = types;
+    c->types_at = now;
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, c->machines);
+    while (g_hash_table_iter_next(&it, NULL, &v))
+        ((machine *)v)->type = -1;
+    c->want_round = true;
+}
+
+/* --- outcomes of transactions --- */
+
+void mv_core_txn_done(mv_core *c, double now, uint64_t id, mv_txn_outcome outcome)
+{
+    enter(c, now);
+    uint64_t *slots[] = {&c->node_txn, &c->leader_txn, &c->grant_txn, &c->progress_txn};
+    for (size_t i = 0; i < G_N_ELEMENTS(slots); i++)
+        if (*slots[i] == id)
+            *slots[i] = 0;
+    for (guint i = 0; i < c->shards->len; i++) {
+        shard *s = g_ptr_array_index(c->shards, i);
+        if (s->used_txn == id)
+            s->used_txn = 0;
+        if (s->block_txn == id)
+            s->block_txn = 0;
+    }
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, c->jobs);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        job *j = v;
+        /* After OK the record's removal is on its way; anything else is tried again. */
+        if (j->ending_txn == id && outcome != MV_TXN_OK) {
+            j->ending_txn = 0;
+            j->ending = false;
+        }
+    }
+}
+
+/* --- questions --- */
+
+mv_fit mv_core_fits(const mv_core *c, const mv_job *spec)
+{
+    const mv_team *t = mv_settings_team(c->conf, spec->crew);
+    if (!t)
+        return MV_NEVER_FITS;
+    if ((t->cpus_max > 0 && spec->cores > t->cpus_max) ||
+        (t->gpus_max > 0 && spec->cards > t->gpus_max))
+        return MV_NEVER_FITS;
+    if (!mv_core_ready(c))
+        return MV_CANNOT_SAY;
+    return type_mask(c, spec) ? MV_FITS : MV_NEVER_FITS;
+}
+
+void mv_core_job(const mv_core *c, const char *id, mv_job_view *out)
+{
+    memset(out, 0, sizeof *out);
+    const job *j = g_hash_table_lookup(c->jobs, id);
+    if (!j)
+        return;
+    out->active = true;
+    out->stamp = j->stamp;
+    out->pieces = j->spec.pieces;
+    out->done = j->n_done;
+    out->owner = job_mine(c, j);
+    out->running = out->owner ? j->n_running : j->shown_running;
+    out->chunks = j->chunks;
+}
+
+unsigned mv_core_waiting(const mv_core *c)
+{
+    return c->counts.waiting;
+}
+
+void mv_core_counts_get(const mv_core *c, mv_core_counts *out)
+{
+    *out = c->counts;
+    out->jobs = g_hash_table_size(c->jobs);
+    out->machines = g_hash_table_size(c->machines);
+    out->machines_up = 0;
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, c->machines);
+    while (g_hash_table_iter_next(&it, NULL, &v))
+        out->machines_up += ((machine *)v)->confirmed;
+}
+
+static void overview_machine(mv_out *o, const mv_core *c, const machine *m, double now)
+{
+    double cores, cards, ram;
+    machine_free_room(c, m, &cores, &cards, &ram);
+    mv_put_map(o, 6);
+    mv_field_text(o, N_ID, m->id);
+    mv_field_text(o, N_HULL, m->hull);
+    mv_field_bool(o, N_LOANERS, m->loaners);
+    mv_field_text(o, N_STATUS,
+                  !m->heard_at     ? N_BOOTING
+                  : m->faulty      ? "faulty"
+                  : m->give_back   ? "returning"
+                  : m->recall_at   ? "recalled"
+                  : m->confirmed   ? N_RUNNING
+                                   : "unconfirmed");
+    mv_field_num(o, N_AGE, now - m->rented_at);
+    mv_field_u64(o, N_PIECES, m->placements->len);
+}
+
+static const char *why_waiting(const mv_core *c, const job *j)
+{
+    const team *t = j->team;
+    const shard *s = t ? t->shard : NULL;
+    if (!s)
+        return "no controller owns its team";
+    if (j->backoff_until > c->now)
+        return "its tasks failed";
+    if (t->conf->cpus_max > 0 && t->used_cores + j->spec.cores > t->conf->cpus_max)
+        return "limit of its team";
+    if (s->mine && !s->rebuilt)
+        return "take-over under way";
+    return s->mine ? "no room" : "see its owner";
+}
+
+GBytes *mv_core_overview(const mv_core *c, double now)
+{
+    mv_out *o = mv_out_new();
+    GHashTableIter it;
+    gpointer v;
+    mv_put_map(o, 5);
+    mv_field_text(o, "leader", c->leader_stamp ? c->leader.node : "");
+    mv_put_text(o, "controllers");
+    mv_put_list(o, g_hash_table_size(c->nodes));
+    g_hash_table_iter_init(&it, c->nodes);
+    while (g_hash_table_iter_next(&it, NULL, &v))
+        mv_put_text(o, ((node_entry *)v)->node);
+    mv_put_text(o, "machines");
+    mv_put_list(o, g_hash_table_size(c->machines));
+    g_hash_table_iter_init(&it, c->machines);
+    while (g_hash_table_iter_next(&it, NULL, &v))
+        overview_machine(o, c, v, now);
+    mv_put_text(o, "teams");
+    mv_put_list(o, c->conf->n_teams);
+    for (size_t i = 0; i < c->conf->n_teams; i++) {
+        const team *t = &c->teams[i];
+        mv_put_map(o, 5);
+        mv_field_text(o, N_NAME, t->conf->name);
+        mv_field_num(o, N_CORES, t->used_cores);
+        mv_field_num(o, "guaranteed", t->conf->cpus);
+        mv_field_num(o, "limit", t->conf->cpus_max);
+        mv_field_text(o, "owner", t->shard ? t->shard->holder.node : "");
+    }
+    mv_put_text(o, "jobs");
+    mv_put_list(o, g_hash_table_size(c->jobs));
+    g_hash_table_iter_init(&it, c->jobs);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const job *j = v;
+        bool late = j->spec.due_s >= 0 && now - j->accepted_at > j->spec.due_s;
+        mv_put_map(o, 8);
+        mv_field_text(o, N_ID, j->spec.id);
+        mv_field_text(o, N_LANE, j->spec.lane);
+        mv_field_text(o, N_CREW, j->spec.crew);
+        mv_field_u64(o, N_PIECES, j->spec.pieces);
+        mv_field_u64(o, N_DONE, j->n_done);
+        mv_field_num(o, N_AGE, now - j->accepted_at);
+        mv_field_bool(o, "late", late);
+        mv_field_text(o, "why", j->waiting->len ? why_waiting(c, j) : "");
+    }
+    return mv_out_take(o);
+}
--- /dev/null
+++ b/src/coordination/core.h
@@ -0,0 +1,146 @@
+/* The core: who leads, who holds which machines and teams, what runs where.
+ *
+ * Pure: every call brings the time and an event, and what is to be done is fetched with
+ * mv_core_next. No call blocks, reads a clock or touches a socket. One lock outside guards it. */
+#ifndef MV_CORE_H
+#define MV_CORE_H
+#include "bookkeeping/settings.h"
+#include "protocol/records.h"
+
+typedef struct mv_core mv_core;
+
+typedef enum {
+    MV_ACT_TXN,     /* a transaction on the state service */
+    MV_ACT_COMMAND, /* orders sent straight to a worker */
+    MV_ACT_RENT,
+    MV_ACT_RELEASE,
+    MV_ACT_LIST,
+    MV_ACT_TYPES,
+    MV_ACT_DEMAND /* what this holder needs, for the leader */
+} mv_action_kind;
+
+typedef struct {
+    char key[MV_KEY_SIZE];
+    uint64_t stamp;
+} mv_cond;
+
+typedef struct {
+    char key[MV_KEY_SIZE];
+    GBytes *data; /* NULL: remove */
+    bool held;    /* attached to our session */
+} mv_change;
+
+/* Tasks that wait and are alike for renting. */
+typedef struct {
+    double cores, cards, ram_gb, run_s;
+    uint32_t types; /* bit per machine type */
+    char yard[MV_NAME_SIZE];
+    bool spot, urgent;
+    unsigned count;
+} mv_want;
+
+typedef struct {
+    char id[MV_NAME_SIZE];
+    double idle_s, silent_s, used_cores, used_ram;
+    bool fence, give_back, lost, up;
+} mv_note;
+
+typedef struct {
+    char node[MV_NAME_SIZE];
+    uint64_t incarnation;
+    unsigned shard;
+    bool resign;
+    GArray *wants; /* mv_want */
+    GArray *notes; /* mv_note */
+} mv_demand;
+
+typedef struct {
+    mv_action_kind kind;
+    uint64_t id;
+    /* TXN */
+    GArray *conds, *changes;
+    bool urgent;
+    /* COMMAND */
+    char machine[MV_NAME_SIZE], address[64];
+    uint64_t baton, tenure;
+    GArray *orders;
+    /* cloud */
+    char name[MV_NAME_SIZE], hull[MV_NAME_SIZE], yard[MV_NAME_SIZE];
+    bool spot;
+    unsigned number;
+    GPtrArray *hosts;
+    /* DEMAND */
+    mv_demand *demand;
+    char to[MV_NAME_SIZE];
+} mv_action;
+
+typedef enum { MV_TXN_OK, MV_TXN_CONFLICT, MV_TXN_UNKNOWN } mv_txn_outcome;
+
+mv_core *mv_core_new(const mv_settings *settings);
+void mv_core_free(mv_core *core);
+
+/* The next thing to do, or NULL. The caller frees it. */
+mv_action *mv_core_next(mv_core *core);
+void mv_action_free(mv_action *a);
+void mv_demand_free(mv_demand *d);
+
+/* Time: steady seconds, and the time of day. */
+void mv_core_tick(mv_core *core, double now, double wall);
+
+/* Our session at the state service: confirmed by a request sent at `sent`; lost when incarnation
+ * is 0. The incarnation names this process for good. */
+void mv_core_session(mv_core *core, double now, uint64_t incarnation, double sent);
+/* The copy of the live records: first all of them, then every change in order. */
+void mv_core_record(mv_core *core, double now, const char *key, GBytes *data, uint64_t stamp);
+/* The copy holds every change made before `sent`. */
+void mv_core_followed(mv_core *core, double now, double sent);
+void mv_core_synced(mv_core *core, double now);
+
+typedef struct {
+    int status;                 /* 200, 421 or 503 */
+    uint64_t baton;             /* with 200 */
+    GArray *orders;             /* with 200; mv_order, owned by the caller */
+    char steward[MV_NAME_SIZE]; /* with 421; may be empty */
+} mv_report_answer;
+
+void mv_core_report(mv_core *core, double now, const mv_report *report, mv_report_answer *answer);
+/* How a command ended: an HTTP status with the worker's report, or 0 without an answer. */
+void mv_core_command_done(mv_core *core, double now, uint64_t id, int status,
+                          const mv_report *report);
+void mv_core_txn_done(mv_core *core, double now, uint64_t id, mv_txn_outcome outcome);
+/* hosts NULL: refused for want of capacity (refused) or no answer. */
+void mv_core_rent_done(mv_core *core, double now, uint64_t id, const GPtrArray *hosts,
+                       bool refused);
+void mv_core_release_done(mv_core *core, double now, uint64_t id, bool ok);
+void mv_core_list_page(mv_core *core, double now, uint64_t id, const GArray *listed, bool more);
+void mv_core_types(mv_core *core, double now, GArray *types); /* takes the list; NULL: failed */
+void mv_core_demand(mv_core *core, double now, mv_demand *demand); /* takes it */
+
+/* --- questions --- */
+typedef enum { MV_FITS, MV_NEVER_FITS, MV_CANNOT_SAY } mv_fit;
+mv_fit mv_core_fits(const mv_core *core, const mv_job *job);
+
+typedef struct {
+    bool active; /* a live record is known here */
+    bool owner;  /* this controller owns it */
+    uint64_t stamp;
+    unsigned shard;
+    unsigned pieces, done, running;
+    unsigned chunks;
+} mv_job_view;
+/* What is known here of a job; not proof against newer records elsewhere. */
+void mv_core_job(const mv_core *core, const char *id, mv_job_view *out);
+bool mv_core_in_contact(const mv_core *core, double now);
+bool mv_core_in_session(const mv_core *core);
+bool mv_core_ready(const mv_core *core);
+bool mv_core_leads(const mv_core *core);
+unsigned mv_core_waiting(const mv_core *core);
+/* The picture for people: MessagePack map. */
+GBytes *mv_core_overview(const mv_core *core, double now);
+
+typedef struct {
+    uint64_t rounds, placed, finished, requeued, preempted, faults, rented, released, takeovers;
+    unsigned jobs, waiting, running, machines, machines_up;
+} mv_core_counts;
+void mv_core_counts_get(const mv_core *core, mv_core_counts *out);
+#endif
--- /dev/null
+++ b/src/coordination/fleet.c
@@ -0,0 +1,658 @@
+/* The leader's care for the fleet: how many machines, of which type, and their coming and going. */
+#include "coordination/internal.h"
+
+#include "bookkeeping/log.h"
+
+#include <string.h>
+
+/* --- demand, by each holder --- */
+
+static unsigned rentable_count(const job *j)
+{
+    const team *t = j->team;
+    unsigned n = j->waiting->len;
+    if (t->conf->cpus_max > 0 && j->spec.cores > 0) {
+        double room = (t->conf->cpus_max - t->used_cores) / j->spec.cores;
+        n = room <= 0 ? 0 : MIN(n, (unsigned)room);
+    }
+    return n;
+}
+
+mv_demand *own_demand(mv_core *c, shard *s)
+{
+    mv_demand *d = g_new0(mv_demand, 1);
+    g_strlcpy(d->node, c->conf->node_name, sizeof d->node);
+    d->incarnation = c->incarnation;
+    d->shard = s->index;
+    d->wants = g_array_new(FALSE, TRUE, sizeof(mv_want));
+    d->notes = g_array_new(FALSE, TRUE, sizeof(mv_note));
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, c->jobs);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const job *j = v;
+        unsigned n = j->team && j->team->shard == s ? rentable_count(j) : 0;
+        if (!n || c->now < j->backoff_until)
+            continue;
+        mv_want w = {.cores = j->spec.cores,
+                     .cards = j->spec.cards,
+                     .ram_gb = j->spec.ram_gb,
+                     .run_s = job_guess(c, j),
+                     .types = type_mask(c, &j->spec),
+                     .spot = j->spec.loaners,
+                     .urgent = j->guaranteed || j->spec.urgency <= MV_HIGH,
+                     .count = n};
+        if (j->spec.has_yard)
+            g_strlcpy(w.yard, j->spec.yard, sizeof w.yard);
+        g_array_append_val(d->wants, w);
+    }
+    unsigned up = 0, lost = 0;
+    for (guint i = 0; i < c->turn->len; i++) {
+        machine *m = g_ptr_array_index(c->turn, i);
+        if (m->shard != s)
+            continue;
+        mv_note n = {.idle_s = m->placements->len || !m->confirmed ? 0 : c->now - m->idle_since,
+                     .silent_s = c->now - m->heard_at,
+                     .fence = g_hash_table_size(m->sticky) > 0 &&
+                              c->now > m->sticky_since + MV_FENCE_AFTER_S,
+                     .give_back = m->give_back || (m->faulty && !m->placements->len),
+                     .lost = m->lost,
+                     .up = m->confirmed};
+        const mv_type *t = type_of(c, m);
+        double cores, cards, ram;
+        machine_free_room(c, m, &cores, &cards, &ram);
+        n.used_cores = t ? t->cores - cores : 0;
+        n.used_ram = t ? t->ram_gb - ram : 0;
+        g_strlcpy(n.id, m->id, sizeof n.id);
+        g_array_append_val(d->notes, n);
+        up += m->confirmed && !m->lost;
+        lost += m->lost;
+    }
+    /* Nobody answers us at all: it is rather we who are cut off than every machine. */
+    d->resign = lost > 1 && up == 0;
+    return d;
+}
+
+/* An idle machine is kept for a while; its second minute must at least have begun. */
+static void offer_idle(mv_core *c, shard *s)
+{
+    unsigned spare = c->conf->tune.spare_machines;
+    for (guint i = 0; i < c->turn->len; i++) {
+        machine *m = g_ptr_array_index(c->turn, i);
+        if (m->shard != s || m->give_back || !m->confirmed || m->placements->len || m->strangers)
+            continue;
+        if (c->now - m->idle_since < c->conf->tune.idle_return_s ||
+            c->now - m->rented_at < MV_MIN_CHARGE_S)
+            continue;
+        if (spare > 0) {
+            spare--;
+            continue;
+        }
+        m->give_back = true;
+    }
+}
+
+static void tell_demand(mv_core *c)
+{
+    for (guint i = 0; i < c->shards->len; i++) {
+        shard *s = g_ptr_array_index(c->shards, i);
+        if (!holds(c, s) || c->now < s->demand_at + MV_DEMAND_S)
+            continue;
+        s->demand_at = c->now;
+        offer_idle(c, s);
+        mv_demand *d = own_demand(c, s);
+        if (leads(c)) {
+            mv_demand_free(s->demand);
+            s->demand = d;
+            s->demand_got_at = c->now;
+        } else if (c->leader_stamp) {
+            mv_action *a = act(c, MV_ACT_DEMAND);
+            a->demand = d;
+            g_strlcpy(a->to, c->leader.node, sizeof a->to);
+        } else {
+            mv_demand_free(d);
+        }
+    }
+}
+
+void mv_core_demand(mv_core *c, double now, mv_demand *d)
+{
+    c->now = MAX(c->now, now);
+    shard *s = d->shard < c->shards->len ? g_ptr_array_index(c->shards, d->shard) : NULL;
+    if (!leads(c) || !s || s->holder.incarnation != d->incarnation ||
+        strcmp(s->holder.node, d->node) != 0) {
+        mv_demand_free(d);
+        return;
+    }
+    mv_demand_free(s->demand);
+    s->demand = d;
+    s->demand_got_at = c->now;
+}
+
+/* --- the leader's books --- */
+
+static bool buried(const mv_core *c, const char *id)
+{
+    return g_hash_table_contains(c->tombs, id);
+}
+
+static void bury(mv_core *c, const char *id)
+{
+    double *when = g_new(double, 1);
+    *when = c->now;
+    g_hash_table_replace(c->tombs, g_strdup(id), when);
+}
+
+static gboolean old_tomb(gpointer key, gpointer value, gpointer data)
+{
+    const mv_core *c = data;
+    (void)key;
+    return c->now > *(double *)value + 4 * c->conf->list_lag_s + MV_TOMB_S;
+}
+
+static gboolean old_refusal(gpointer key, gpointer value, gpointer data)
+{
+    const mv_core *c = data;
+    (void)key;
+    return c->now > *(double *)value;
+}
+
+void fleet_lead_lost(mv_core *c)
+{
+    g_ptr_array_set_size(c->rentals, 0);
+    for (guint i = 0; i < c->shards->len; i++) {
+        shard *s = g_ptr_array_index(c->shards, i);
+        g_array_set_size(s->adds, 0);
+        g_clear_pointer(&s->demand, mv_demand_free);
+        s->demand_got_at = 0;
+    }
+    c->list_id = c->types_id = c->release_id = 0;
+    g_clear_pointer(&c->release_hosts, g_ptr_array_unref);
+}
+
+static bool added_already(const mv_core *c, const char *id)
+{
+    for (guint i = 0; i < c->shards->len; i++) {
+        const shard *s = g_ptr_array_index(c->shards, i);
+        for (guint k = 0; k < s->adds->len; k++)
+            if (strcmp(g_array_index(s->adds, mv_member, k).id, id) == 0)
+                return true;
+    }
+    const machine *m = g_hash_table_lookup(c->machines, id);
+    return m && m->shard;
+}
+
+static unsigned size_of_shard(const mv_core *c, const shard *s)
+{
+    unsigned n = s->adds->len;
+    for (guint i = 0; i < c->turn->len; i++)
+        n += ((machine *)g_ptr_array_index(c->turn, i))->shard == s;
+    return n;
+}
+
+/* A machine that nobody holds: rented by a request that was answered late, or by a leader that
+ * died before it could record it. */
+void fleet_adopt(mv_core *c, const mv_member *b)
+{
+    if (c->shards->len == 0 || buried(c, b->id) || added_already(c, b->id))
+        return;
+    shard *least = g_ptr_array_index(c->shards, 0);
+    for (guint i = 1; i < c->shards->len; i++)
+        if (size_of_shard(c, g_ptr_array_index(c->shards, i)) < size_of_shard(c, least))
+            least = g_ptr_array_index(c->shards, i);
+    g_array_append_val(least->adds, *b);
+    mv_info("adopt", "machine=%s shard=%u", b->id, least->index);
+}
+
+static const mv_note *note_of(const shard *s, const char *id)
+{
+    for (guint i = 0; s->demand && i < s->demand->notes->len; i++) {
+        const mv_note *n = &g_array_index(s->demand->notes, mv_note, i);
+        if (strcmp(n->id, id) == 0)
+            return n;
+    }
+    return NULL;
+}
+
+static bool fence_wanted(const mv_core *c, const shard *s, const machine *m)
+{
+    const mv_note *n = note_of(s, m->id);
+    return n && n->fence && s->demand_got_at > c->now - MV_DEMAND_OLD_S;
+}
+
+/* Writes a block anew when machines came, went or need a higher term. */
+bool fleet_block_change(mv_core *c, shard *s)
+{
+    if (!s->stamp || pending(&s->block_txn, s->block_txn_at, c->now))
+        return false;
+    g_autoptr(GArray) members = g_array_new(FALSE, TRUE, sizeof(mv_member));
+    bool change = s->block_stamp == 0;
+    uint64_t term = c->term;
+    for (guint i = 0; i < c->turn->len; i++) {
+        const machine *m = g_ptr_array_index(c->turn, i);
+        if (m->shard != s)
+            continue;
+        if (buried(c, m->id)) {
+            change = true;
+            continue;
+        }
+        mv_member b = {
+            .loaners = m->loaners, .term = m->member_term, .at = m->rented_at + c->wall_offset};
+        if (fence_wanted(c, s, m)) {
+            b.term = ++term;
+            change = true;
+        }
+        g_strlcpy(b.id, m->id, sizeof b.id);
+        g_strlcpy(b.address, m->address, sizeof b.address);
+        g_strlcpy(b.hull, m->hull, sizeof b.hull);
+        g_strlcpy(b.yard, m->yard, sizeof b.yard);
+        g_array_append_val(members, b);
+    }
+    for (guint i = s->adds->len; i-- > 0;) {
+        mv_member b = g_array_index(s->adds, mv_member, i);
+        const machine *m = g_hash_table_lookup(c->machines, b.id);
+        if ((m && m->shard) || buried(c, b.id)) {
+            g_array_remove_index(s->adds, i);
+            continue;
+        }
+        g_array_append_val(members, b);
+        change = true;
+    }
+    if (!change)
+        return false;
+    char key[MV_KEY_SIZE];
+    g_snprintf(key, sizeof key, K_BLOCK "%u", s->index);
+    mv_action *a = txn(c, true);
+    txn_if(a, K_LEADER, c->leader_stamp);
+    txn_if(a, key, s->block_stamp);
+    txn_set(a, key, mv_block_pack(members), false);
+    if (term != c->term) {
+        txn_if(a, K_TERM, c->term_stamp);
+        txn_set(a, K_TERM, mv_counter_pack(term), false);
+    }
+    s->block_txn = a->id;
+    s->block_txn_at = c->now;
+    return true;
+}
+
+/* --- sizing --- */
+
+typedef struct {
+    double cores, cards, ram_gb;
+    int type;
+    const char *yard;
+    bool spot;
+    const shard *shard;
+} bin;
+
+static void add_bin(GArray *bins, const mv_core *c, int type, const char *yard, bool spot,
+                    const shard *s, double used_cores, double used_ram)
+{
+    if (type < 0)
+        return;
+    const mv_type *t = &g_array_index(c->types, mv_type, type);
+    bin b = {.cores = t->cores - used_cores,
+             .cards = t->cards,
+             .ram_gb = t->ram_gb - used_ram,
+             .type = type,
+             .yard = yard,
+             .spot = spot,
+             .shard = s};
+    g_array_append_val(bins, b);
+}
+
+static int type_named(const mv_core *c, const char *name)
+{
+    for (guint i = 0; c->types && i < c->types->len; i++)
+        if (strcmp(g_array_index(c->types, mv_type, i).name, name) == 0)
+            return (int)i;
+    return -1;
+}
+
+/* Everything that is there, booting, asked for or about to be recorded. */
+static GArray *present_bins(mv_core *c)
+{
+    GArray *bins = g_array_new(FALSE, TRUE, sizeof(bin));
+    for (guint i = 0; i < c->turn->len; i++) {
+        machine *m = g_ptr_array_index(c->turn, i);
+        const mv_note *n = m->shard ? note_of(m->shard, m->id) : NULL;
+        if (!m->shard || buried(c, m->id) || m->releasing || (n && (n->give_back || n->lost)))
+            continue;
+        type_of(c, m);
+        add_bin(bins, c, m->type, m->yard, m->loaners, m->shard, n ? n->used_cores : 0,
+                n ? n->used_ram : 0);
+    }
+    for (guint i = 0; i < c->shards->len; i++) {
+        const shard *s = g_ptr_array_index(c->shards, i);
+        for (guint k = 0; k < s->adds->len; k++) {
+            const mv_member *b = &g_array_index(s->adds, mv_member, k);
+            add_bin(bins, c, type_named(c, b->hull), b->yard, b->loaners, s, 0, 0);
+        }
+    }
+    for (guint i = 0; i < c->rentals->len; i++) {
+        const rental *r = g_ptr_array_index(c->rentals, i);
+        for (unsigned k = 0; k < r->number; k++)
+            add_bin(bins, c, type_named(c, r->hull), r->yard, r->spot,
+                    g_ptr_array_index(c->shards, r->shard), 0, 0);
+    }
+    return bins;
+}
+
+static unsigned slots(const mv_want *w, double cores, double cards, double ram)
+{
+    double n = 1e9;
+    if (w->cores > 0)
+        n = MIN(n, (cores + MV_ROUNDING) / w->cores);
+    if (w->cards > 0)
+        n = MIN(n, (cards + MV_ROUNDING) / w->cards);
+    if (w->ram_gb > 0)
+        n = MIN(n, (ram + MV_ROUNDING) / w->ram_gb);
+    return n < 0 ? 0 : (unsigned)n;
+}
+
+/* Takes room for the wanted tasks out of the bins; the rest comes back. */
+static unsigned pack(const mv_want *w, const shard *s, GArray *bins, unsigned left)
+{
+    for (guint i = 0; i < bins->len && left; i++) {
+        bin *b = &g_array_index(bins, bin, i);
+        if (b->shard != s || !(w->types >> b->type & 1) || (b->spot && !w->spot) ||
+            (w->yard[0] && strcmp(w->yard, b->yard) != 0))
+            continue;
+        unsigned n = MIN(left, slots(w, b->cores, b->cards, b->ram_gb));
+        b->cores -= n * w->cores;
+        b->cards -= n * w->cards;
+        b->ram_gb -= n * w->ram_gb;
+        left -= n;
+    }
+    return left;
+}
+
+static char *offer_key(const char *hull, const char *yard, bool spot)
+{
+    return g_strdup_printf("%s/%s/%d", hull, yard, spot);
+}
+
+typedef struct {
+    int type;
+    const char *yard;
+    bool spot;
+    double price;
+} offer;
+
+/* The cheapest machine for each task it would take of these. */
+static bool best_offer(const mv_core *c, const mv_want *w, unsigned left, offer *out)
+{
+    bool found = false;
+    for (guint i = 0; i < c->types->len; i++) {
+        const mv_type *t = &g_array_index(c->types, mv_type, i);
+        unsigned n = MIN(slots(w, t->cores, t->cards, t->ram_gb), left);
+        if (!(w->types >> i & 1) || n == 0)
+            continue;
+        for (size_t y = 0; y < t->n_yards; y++) {
+            if (w->yard[0] && strcmp(w->yard, t->yards[y]) != 0)
+                continue;
+            for (int spot = w->spot ? 1 : 0; spot >= 0; spot--) {
+                g_autofree char *key = offer_key(t->name, t->yards[y], spot);
+                double price = (spot ? t->market : t->rate) / n;
+                if (g_hash_table_contains(c->refused, key) || (found && price >= out->price))
+                    continue;
+                *out = (offer){(int)i, t->yards[y], spot, price};
+                found = true;
+            }
+        }
+    }
+    return found;
+}
+
+static void ask(mv_core *c, rental *r)
+{
+    mv_action *a = act(c, MV_ACT_RENT);
+    g_strlcpy(a->name, r->hire, sizeof a->name);
+    g_strlcpy(a->hull, r->hull, sizeof a->hull);
+    g_strlcpy(a->yard, r->yard, sizeof a->yard);
+    a->spot = r->spot;
+    a->number = r->number;
+    r->id = a->id;
+    r->retry_at = 0;
+}
+
+static void rent(mv_core *c, const offer *o, unsigned number, const shard *s)
+{
+    const mv_type *t = &g_array_index(c->types, mv_type, o->type);
+    rental *r = g_new0(rental, 1);
+    /* The leader's term makes the name unlike any other leader's. */
+    g_snprintf(r->hire, sizeof r->hire, "r-%" G_GUINT64_FORMAT "-%u", c->leader.term,
+               ++c->hires);
+    g_strlcpy(r->hull, t->name, sizeof r->hull);
+    g_strlcpy(r->yard, o->yard, sizeof r->yard);
+    r->spot = o->spot;
+    r->number = MIN(number, MV_MAX_RENT);
+    r->shard = s->index;
+    g_ptr_array_add(c->rentals, r);
+    ask(c, r);
+}
+
+static void size_fleet(mv_core *c)
+{
+    if (!c->types || c->types->len == 0 || c->now < c->sized_at + MV_DEMAND_S)
+        return;
+    c->sized_at = c->now;
+    g_autoptr(GArray) bins = present_bins(c);
+    for (int pass = 0; pass < 2; pass++)
+        for (guint i = 0; i < c->shards->len; i++) {
+            const shard *s = g_ptr_array_index(c->shards, i);
+            if (!s->demand || s->demand_got_at < c->now - MV_DEMAND_OLD_S)
+                continue;
+            for (guint k = 0; k < s->demand->wants->len; k++) {
+                const mv_want *w = &g_array_index(s->demand->wants, mv_want, k);
+                if (w->urgent != (pass == 0))
+                    continue;
+                unsigned left = pack(w, s, bins, w->count);
+                offer o;
+                /* One kind at a time: a refusal shows where capacity ends. */
+                if (left && best_offer(c, w, left, &o)) {
+                    const mv_type *t = &g_array_index(c->types, mv_type, o.type);
+                    unsigned per = slots(w, t->cores, t->cards, t->ram_gb);
+                    unsigned n = MIN((left + per - 1) / per, MV_MAX_RENT);
+                    rent(c, &o, n, s);
+                    for (unsigned x = 0; x < n; x++)
+                        add_bin(bins, c, o.type, o.yard, o.spot, s, 0, 0);
+                    pack(w, s, bins, left);
+                }
+            }
+        }
+}
+
+void mv_core_rent_done(mv_core *c, double now, uint64_t id, const GPtrArray *hosts, bool refused)
+{
+    c->now = MAX(c->now, now);
+    for (guint i = 0; i < c->rentals->len; i++) {
+        rental *r = g_ptr_array_index(c->rentals, i);
+        if (r->id != id)
+            continue;
+        if (!hosts && !refused) { /* it may have been carried out: the same name asks again */
+            r->retry_at = c->now + 1;
+            return;
+        }
+        unsigned got = hosts ? hosts->len : 0;
+        if (got < r->number) {
+            double *until = g_new(double, 1);
+            *until = c->now + MV_REFUSED_PAUSE_S;
+            g_hash_table_replace(c->refused, offer_key(r->hull, r->yard, r->spot), until);
+        }
+        mv_info("rented", "type=%s spot=%d asked=%u got=%u", r->hull, r->spot, r->number, got);
+        c->counts.rented += got;
+        shard *s = g_ptr_array_index(c->shards, r->shard);
+        for (guint k = 0; k < got; k++) {
+            mv_member b = {.loaners = r->spot, .at = wall(c)};
+            g_strlcpy(b.id, g_ptr_array_index(hosts, k), sizeof b.id);
+            g_strlcpy(b.hull, r->hull, sizeof b.hull);
+            g_strlcpy(b.yard, r->yard, sizeof b.yard);
+            if (!added_already(c, b.id))
+                g_array_append_val(s->adds, b);
+        }
+        g_ptr_array_remove_index(c->rentals, i);
+        fleet_block_change(c, s);
+        return;
+    }
+}
+
+/* --- giving back --- */
+
+static const char *reason_to_release(mv_core *c, machine *m)
+{
+    const mv_note *n = m->shard ? note_of(m->shard, m->id) : NULL;
+    const mv_type *t = type_of(c, m);
+    bool fresh_note = n && m->shard->demand_got_at > c->now - MV_DEMAND_OLD_S;
+    if (m->listed_failed)
+        return "failed";
+    if (m->missing_lists >= 2 && (!fresh_note || n->silent_s > c->conf->report_s * 2))
+        return "gone";
+    if (!fresh_note)
+        return NULL;
+    if (n->give_back)
+        return "idle";
+    if (n->lost)
+        return "silent";
+    double boot = c->conf->tune.boot_factor * (t ? t->ready_s : 60);
+    if (!n->up && c->now - m->rented_at > boot && n->silent_s > c->conf->report_s * 4)
+        return "no boot";
+    return NULL;
+}
+
+static void give_back(mv_core *c)
+{
+    if (c->release_id && c->now < c->release_at + 3.0 * MV_CLOUD_TIMEOUT_MS / 1000)
+        return;
+    g_autoptr(GPtrArray) hosts = g_ptr_array_new_with_free_func(g_free);
+    unsigned silent = 0, heard = 0;
+    for (guint i = 0; i < c->turn->len; i++) {
+        machine *m = g_ptr_array_index(c->turn, i);
+        const char *why = m->shard && !buried(c, m->id) ? reason_to_release(c, m) : NULL;
+        const mv_note *n = m->shard ? note_of(m->shard, m->id) : NULL;
+        heard += n && n->up && !n->lost;
+        silent += n && n->lost;
+        if (!why || hosts->len >= MV_MAX_RELEASE)
+            continue;
+        /* All silent at once is a cut of ours more likely than the end of every machine. */
+        if (strcmp(why, "silent") == 0 && heard == 0 && silent > 1)
+            continue;
+        mv_info("release", "machine=%s why=%s", m->id, why);
+        g_ptr_array_add(hosts, g_strdup(m->id));
+    }
+    if (hosts->len == 0)
+        return;
+    mv_action *a = act(c, MV_ACT_RELEASE);
+    a->hosts = g_ptr_array_ref(hosts);
+    c->release_id = a->id;
+    c->release_at = c->now;
+    g_clear_pointer(&c->release_hosts, g_ptr_array_unref);
+    c->release_hosts = g_ptr_array_ref(hosts);
+}
+
+void mv_core_release_done(mv_core *c, double now, uint64_t id, bool ok)
+{
+    c->now = MAX(c->now, now);
+    if (c->release_id != id)
+        return;
+    c->release_id = 0;
+    if (!ok)
+        return;
+    for (guint i = 0; i < c->release_hosts->len; i++)
+        bury(c, g_ptr_array_index(c->release_hosts, i));
+    c->counts.released += c->release_hosts->len;
+    for (guint i = 0; i < c->shards->len; i++)
+        fleet_block_change(c, g_ptr_array_index(c->shards, i));
+}
+
+/* --- the cloud's list --- */
+
+static void read_list(mv_core *c)
+{
+    for (guint i = 0; i < c->turn->len; i++) {
+        machine *m = g_ptr_array_index(c->turn, i);
+        bool seen = g_hash_table_contains(c->list_seen, m->id);
+        /* Lists may go back in time; two in a row without a machine that was listed agree. */
+        m->missing_lists = m->listed && !seen ? m->missing_lists + 1 : 0;
+        m->listed = m->listed || seen;
+    }
+}
+
+void mv_core_list_page(mv_core *c, double now, uint64_t id, const GArray *listed, bool more)
+{
+    c->now = MAX(c->now, now);
+    if (c->list_id != id)
+        return;
+    c->list_id = 0;
+    if (!listed)
+        return;
+    for (guint i = 0; i < listed->len; i++) {
+        const mv_listed *l = &g_array_index(listed, mv_listed, i);
+        g_hash_table_add(c->list_seen, g_strdup(l->id));
+        machine *m = g_hash_table_lookup(c->machines, l->id);
+        if (m) {
+            m->listed_failed = l->failed;
+            if (!m->address[0])
+                g_strlcpy(m->address, l->address, sizeof m->address);
+        } else if (leads(c) && l->age_s > MV_ADOPT_AGE_S) {
+            mv_member b = {.loaners = l->loaners, .at = wall(c) - l->age_s};
+            g_strlcpy(b.id, l->id, sizeof b.id);
+            g_strlcpy(b.address, l->address, sizeof b.address);
+            g_strlcpy(b.hull, l->hull, sizeof b.hull);
+            g_strlcpy(b.yard, l->yard, sizeof b.yard);
+            fleet_adopt(c, &b);
+        }
+    }
+    if (!more || listed->len == 0) {
+        read_list(c);
+        return;
+    }
+    mv_action *a = act(c, MV_ACT_LIST);
+    g_strlcpy(a->name, g_array_index(listed, mv_listed, listed->len - 1).id, sizeof a->name);
+    c->list_id = a->id;
+}
+
+static void ask_cloud(mv_core *c)
+{
+    bool late = c->now > c->types_asked_at + 2.0 * MV_CLOUD_TIMEOUT_MS / 1000;
+    if ((!c->types_id || late) &&
+        (c->types_asked_at == 0 || c->now > c->types_asked_at + (c->types ? MV_TYPES_EVERY_S : 1))) {
+        c->types_id = act(c, MV_ACT_TYPES)->id;
+        c->types_asked_at = c->now;
+    }
+    if (!leads(c))
+        return;
+    if (c->now > c->list_at + MV_LIST_EVERY_S &&
+        (!c->list_id || c->now > c->list_at + 4 * MV_CLOUD_TIMEOUT_MS / 1000.0)) {
+        g_clear_pointer(&c->list_seen, g_hash_table_unref);
+        c->list_seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+        c->list_id = act(c, MV_ACT_LIST)->id;
+        c->list_at = c->now;
+    }
+}
+
+void fleet_tick(mv_core *c)
+{
+    tell_demand(c);
+    ask_cloud(c);
+    bool lead = leads(c);
+    if (lead != c->led) {
+        fleet_lead_lost(c);
+        c->led = lead;
+        c->led_since = c->now;
+        mv_info("leader", "leads=%d term=%" G_GUINT64_FORMAT, lead, c->leader.term);
+    }
+    if (!lead)
+        return;
+    g_hash_table_foreach_remove(c->tombs, old_tomb, c);
+    g_hash_table_foreach_remove(c->refused, old_refusal, c);
+    for (guint i = 0; i < c->rentals->len; i++) {
+        rental *r = g_ptr_array_index(c->rentals, i);
+        if (r->retry_at > 0 && c->now > r->retry_at)
+            ask(c, r);
+    }
+    for (guint i = 0; i < c->shards->len; i++)
+        fleet_block_change(c, g_ptr_array_index(c->shards, i));
+    size_fleet(c);
+    give_back(c);
+}
--- /dev/null
+++ b/src/coordination/internal.h
@@ -0,0 +1,252 @@
+/* What the parts of the core share. Nothing outside coordination/ includes this. */
+#ifndef MV_CORE_INTERNAL_H
+#define MV_CORE_INTERNAL_H
+#include "coordination/core.h"
+#include "protocol/names.h"
+
+typedef enum {
+    T_WAIT,    /* may be placed */
+    T_PLACED,  /* on a machine, or perhaps on its way there */
+    T_DONE,    /* completed, not stored yet */
+    T_STORED   /* completed and stored */
+} task_state;
+
+typedef struct job job;
+typedef struct machine machine;
+typedef struct shard shard;
+typedef struct team team;
+
+/* A task on a machine, from the moment its launch may be executed until it is known to be gone. */
+typedef struct {
+    char job[MV_ID_SIZE];
+    uint32_t piece;
+    uint64_t attempt, tenure;
+    team *team;
+    double cores, cards, ram_gb;
+    double placed_at, running_at; /* running_at 0: no report has shown it running */
+    bool seen;                    /* a report has shown it */
+    bool sent_direct;             /* a direct command with its launch was sent */
+    bool unsettled;               /* ... and got no answer: it may still arrive */
+    bool stopping;
+    double stop_sent_at;
+} placement;
+
+struct machine {
+    char id[MV_NAME_SIZE], address[64], hull[MV_NAME_SIZE], yard[MV_NAME_SIZE];
+    bool loaners;
+    double rented_at; /* steady */
+    uint64_t member_term;
+    shard *shard; /* NULL once it is in no block */
+    int type;     /* index in types, -1 unknown */
+    /* what reports say */
+    uint64_t tenure, tick;
+    double heard_at;     /* 0: never */
+    double heard_any_at; /* any sign, also under an older token */
+    bool confirmed;      /* under the present token */
+    bool used;           /* recorded as one that may hold tasks */
+    bool fresh;          /* entered the block after our grant: nothing can be on it yet */
+    double recall_at;    /* when the cloud takes it; 0: no notice */
+    GPtrArray *placements;
+    unsigned strangers; /* active pieces of unknown jobs */
+    double sticky_since;
+    GHashTable *sticky; /* attempts that may still arrive: never cleared under this token */
+    GQueue *images;     /* cached_image, most recently used first */
+    /* direct commands */
+    uint64_t command_id; /* 0: none in flight */
+    uint64_t command_baton;
+    double command_at;
+    bool wants_command;
+    double no_command_until;
+    unsigned command_fails;
+    /* judgement */
+    double idle_since;
+    bool give_back, faulty, lost;
+    double no_room_until;
+    GHashTable *failed_jobs;
+    /* the leader's view */
+    bool listed, listed_failed, listed_booting, releasing;
+    double listed_running_at;
+    unsigned missing_lists;
+};
+
+typedef struct {
+    char name[MV_NAME_SIZE];
+    double gb;
+} cached_image;
+
+struct job {
+    mv_job spec;
+    uint64_t stamp;
+    double accepted_at; /* steady */
+    double submitted_wall;
+    team *team;
+    uint8_t *state;    /* task_state by piece */
+    GArray *waiting;   /* piece numbers, last first */
+    double ready_at;   /* when its oldest waiting task became ready */
+    unsigned n_done, n_stored, n_placed, n_running;
+    unsigned fails;
+    double backoff_until;
+    bool *chunk_dirty;
+    uint64_t *chunk_stamp;
+    unsigned chunks;
+    bool ending;
+    uint64_t ending_txn;
+    double flushed_at;
+    unsigned shown_running;
+    bool guaranteed;
+    double slack;
+};
+
+struct team {
+    const mv_team *conf;
+    shard *shard;
+    double used_cores, used_cards; /* placements */
+};
+
+struct shard {
+    unsigned index;
+    mv_holder holder;
+    uint64_t stamp;       /* of the shard record */
+    uint64_t grant_stamp; /* of the record that brought the present term */
+    uint64_t block_stamp, used_stamp;
+    GHashTable *used; /* ids of machines that may hold tasks */
+    bool mine;
+    double taken_at;
+    bool rebuilt;
+    uint64_t used_txn;
+    double used_txn_at;
+    double demand_at; /* last sent */
+    /* the leader's */
+    uint64_t block_txn;
+    double block_txn_at;
+    GArray *adds; /* mv_member */
+    mv_demand *demand;
+    double demand_got_at;
+};
+
+typedef struct {
+    char node[MV_NAME_SIZE];
+    uint64_t incarnation, stamp;
+} node_entry;
+
+typedef struct {
+    uint64_t id;
+    char hire[MV_NAME_SIZE], hull[MV_NAME_SIZE], yard[MV_NAME_SIZE];
+    bool spot;
+    unsigned number, shard;
+    double retry_at; /* 0: in flight */
+} rental;
+
+struct mv_core {
+    const mv_settings *conf;
+    double now, wall_offset;
+    uint64_t incarnation;
+    double contact; /* a request sent then was answered by the state service, session alive */
+    double replica_contact; /* the copy of the records was complete up to then */
+    bool session;
+    bool synced;
+    GHashTable *nodes;
+    mv_holder leader;
+    uint64_t leader_stamp;
+    uint64_t term, term_stamp;
+    GPtrArray *shards;
+    team *teams;
+    GHashTable *machines; /* id -> machine */
+    GPtrArray *turn;      /* machines in turn, by id */
+    guint next_turn;
+    GHashTable *jobs;
+    GArray *types;
+    uint64_t types_stamp;
+    double types_at, types_asked_at;
+    GHashTable *learnt; /* lane -> learnt_lane */
+    /* actions */
+    GQueue *actions;
+    uint64_t next_id;
+    uint64_t attempts; /* counter within our term */
+    bool want_round;
+    double next_round;
+    /* election */
+    uint64_t node_txn, leader_txn, grant_txn;
+    double node_txn_at, leader_txn_at, grant_txn_at;
+    uint64_t progress_txn;
+    double progress_txn_at;
+    double rebalanced_at;
+    /* fleet */
+    bool led; /* leading at the last tick */
+    double led_since;
+    GPtrArray *rentals;
+    GHashTable *refused;   /* "hull/yard/kind" -> until */
+    GHashTable *tombs;     /* released machines -> when */
+    uint64_t list_id, types_id, release_id;
+    double list_at, release_at, sized_at;
+    GPtrArray *release_hosts;
+    GHashTable *list_seen;
+    unsigned hires;
+    mv_core_counts counts;
+};
+
+typedef struct {
+    double ratio; /* run time over estimate, smoothed */
+    unsigned n;
+} learnt_lane;
+
+/* core.c */
+mv_action *act(mv_core *c, mv_action_kind kind);
+mv_action *txn(mv_core *c, bool urgent);
+void txn_if(mv_action *a, const char *key, uint64_t stamp);
+void txn_set(mv_action *a, const char *key, GBytes *data, bool held);
+void txn_remove(mv_action *a, const char *key);
+uint64_t session_ok(const mv_core *c); /* our incarnation within the short session, else 0 */
+bool holds(const mv_core *c, const shard *s);
+bool leads(const mv_core *c);
+double wall(const mv_core *c);
+void settle(mv_core *c);
+bool pending(uint64_t *txn_id, double at, double now);
+/* membership.c */
+void membership_tick(mv_core *c);
+void record_node(mv_core *c, const char *name, const msgpack_object *o, uint64_t stamp);
+void record_shard(mv_core *c, unsigned index, const msgpack_object *o, uint64_t stamp);
+void record_block(mv_core *c, unsigned index, const msgpack_object *o, uint64_t stamp);
+void record_used(mv_core *c, unsigned index, const msgpack_object *o, uint64_t stamp);
+shard *shard_get(mv_core *c, unsigned index);
+void holders_tick(mv_core *c);
+/* machines.c */
+machine *machine_new(mv_core *c, const char *id);
+void machine_free(gpointer p);
+void machine_left(mv_core *c, machine *m);
+uint64_t token(const machine *m);
+bool usable(const mv_core *c, const machine *m);
+bool may_hold_tasks(const machine *m);
+void machine_free_room(const mv_core *c, const machine *m, double *cores, double *cards,
+                       double *ram);
+bool has_image(const machine *m, const char *image);
+void touch_image(mv_core *c, machine *m, const char *image, double gb);
+void flush_commands(mv_core *c);
+void machines_tick(mv_core *c);
+void drop_placement(mv_core *c, machine *m, guint index, bool requeue);
+void reset_machine(mv_core *c, machine *m);
+const mv_type *type_of(const mv_core *c, const machine *m);
+/* jobs.c */
+void record_job(mv_core *c, const char *id, const msgpack_object *o, uint64_t stamp);
+void record_progress(mv_core *c, const char *rest, const msgpack_object *o, uint64_t stamp);
+void job_free(gpointer p);
+void job_reset(mv_core *c, job *j);
+bool job_mine(const mv_core *c, const job *j);
+void task_done(mv_core *c, job *j, uint32_t piece);
+void job_unwait(job *j, uint32_t piece);
+void task_requeue(mv_core *c, job *j, uint32_t piece);
+void jobs_tick(mv_core *c);
+double job_guess(const mv_core *c, const job *j);
+void learn(mv_core *c, const job *j, double ran);
+bool allowed_on(const mv_core *c, const job *j, const machine *m);
+uint32_t type_mask(const mv_core *c, const mv_job *spec);
+/* placement.c */
+void place_round(mv_core *c);
+void note_placed(mv_core *c, machine *m, job *j, placement *p);
+/* fleet.c */
+void fleet_tick(mv_core *c);
+void fleet_adopt(mv_core *c, const mv_member *m);
+mv_demand *own_demand(mv_core *c, shard *s);
+bool fleet_block_change(mv_core *c, shard *s);
+void fleet_lead_lost(mv_core *c);
+#endif
--- /dev/null
+++ b/src/coordination/jobs.c
@@ -0,0 +1,342 @@
+/* Jobs and their tasks: records, progress, ends. */
+#include "coordination/internal.h"
+
+#include "bookkeeping/log.h"
+
+#include <string.h>
+
+bool job_mine(const mv_core *c, const job *j)
+{
+    return j->team && j->team->shard && holds(c, j->team->shard);
+}
+
+void job_free(gpointer p)
+{
+    job *j = p;
+    mv_job_clear(&j->spec);
+    g_free(j->state);
+    g_free(j->chunk_dirty);
+    g_free(j->chunk_stamp);
+    g_array_unref(j->waiting);
+    g_free(j);
+}
+
+/* Everything that is not done waits; reports will show what is placed. */
+void job_reset(mv_core *c, job *j)
+{
+    g_array_set_size(j->waiting, 0);
+    j->n_placed = j->n_running = 0;
+    for (uint32_t i = j->spec.pieces; i-- > 0;) {
+        if (j->state[i] == T_PLACED)
+            j->state[i] = T_WAIT;
+        if (j->state[i] == T_WAIT)
+            g_array_append_val(j->waiting, i);
+    }
+    j->ending = false;
+    j->ready_at = c->now;
+}
+
+static job *job_new(mv_core *c, mv_job *spec, double at, uint64_t stamp)
+{
+    job *j = g_new0(job, 1);
+    j->spec = *spec; /* takes its list */
+    j->stamp = stamp;
+    j->submitted_wall = at;
+    j->accepted_at = at - c->wall_offset;
+    j->state = g_new0(uint8_t, spec->pieces);
+    j->chunks = (spec->pieces + MV_CHUNK_TASKS - 1) / MV_CHUNK_TASKS;
+    j->chunk_dirty = g_new0(bool, j->chunks);
+    j->chunk_stamp = g_new0(uint64_t, j->chunks);
+    j->waiting = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+    for (size_t i = 0; i < c->conf->n_teams; i++)
+        if (strcmp(c->conf->teams[i].name, spec->crew) == 0)
+            j->team = &c->teams[i];
+    job_reset(c, j);
+    return j;
+}
+
+/* The record went: the job is over. What still runs of it is stopped. */
+static void job_over(mv_core *c, job *j)
+{
+    for (guint i = 0; i < c->turn->len; i++) {
+        machine *m = g_ptr_array_index(c->turn, i);
+        for (guint k = 0; k < m->placements->len; k++) {
+            placement *p = g_ptr_array_index(m->placements, k);
+            if (strcmp(p->job, j->spec.id) == 0)
+                m->wants_command = true;
+        }
+    }
+    if (j->n_done == j->spec.pieces)
+        c->counts.finished++;
+    g_hash_table_remove(c->jobs, j->spec.id);
+}
+
+void record_job(mv_core *c, const char *id, const msgpack_object *o, uint64_t stamp)
+{
+    job *j = g_hash_table_lookup(c->jobs, id);
+    if (!o) {
+        if (j)
+            job_over(c, j);
+        return;
+    }
+    if (j) {
+        j->stamp = stamp;
+        return;
+    }
+    mv_job spec;
+    double at;
+    if (!mv_accepted_parse(o, &spec, &at) || strcmp(spec.id, id) != 0) {
+        mv_error("bad_record", "key=%s%s", K_JOB, id);
+        return;
+    }
+    j = job_new(c, &spec, at, stamp);
+    g_hash_table_insert(c->jobs, j->spec.id, j);
+}
+
+void job_unwait(job *j, uint32_t piece)
+{
+    for (guint k = j->waiting->len; k-- > 0;)
+        if (g_array_index(j->waiting, uint32_t, k) == piece) {
+            g_array_remove_index(j->waiting, k);
+            return;
+        }
+}
+
+/* Key: "j-000412/0", the chunk last. */
+void record_progress(mv_core *c, const char *rest, const msgpack_object *o, uint64_t stamp)
+{
+    char id[MV_ID_SIZE];
+    const char *slash = strchr(rest, '/');
+    guint64 chunk;
+    if (!slash || (size_t)(slash - rest) >= sizeof id ||
+        !g_ascii_string_to_unsigned(slash + 1, 10, 0, MV_MAX_PIECES, &chunk, NULL))
+        return;
+    g_strlcpy(id, rest, (gsize)(slash - rest) + 1);
+    job *j = g_hash_table_lookup(c->jobs, id);
+    if (!j || chunk >= j->chunks)
+        return;
+    j->chunk_stamp[chunk] = o ? stamp : 0;
+    g_autoptr(GString) bits = g_string_new(NULL);
+    if (!o || !mv_progress_parse(o, bits, &j->shown_running))
+        return;
+    uint32_t base = (uint32_t)chunk * MV_CHUNK_TASKS;
+    for (uint32_t i = 0; i < MV_CHUNK_TASKS && base + i < j->spec.pieces; i++) {
+        uint32_t piece = base + i;
+        bool set = i / 4 < bits->len && (g_ascii_xdigit_value(bits->str[i / 4]) >> (i % 4)) & 1;
+        if (!set || j->state[piece] == T_STORED)
+            continue;
+        if (j->state[piece] != T_DONE) {
+            j->n_done++;
+            job_unwait(j, piece);
+        }
+        j->state[piece] = T_STORED;
+        j->n_stored++;
+    }
+}
+
+void task_done(mv_core *c, job *j, uint32_t piece)
+{
+    task_state st = j->state[piece];
+    if (st == T_DONE || st == T_STORED)
+        return;
+    /* A copy still placed elsewhere would go on for nothing: its machine's next report stops it. */
+    if (st == T_WAIT)
+        job_unwait(j, piece);
+    j->state[piece] = T_DONE;
+    j->n_done++;
+    j->fails = 0;
+    j->chunk_dirty[piece / MV_CHUNK_TASKS] = true;
+    c->want_round = true;
+}
+
+void task_requeue(mv_core *c, job *j, uint32_t piece)
+{
+    if (j->waiting->len == 0)
+        j->ready_at = c->now;
+    j->state[piece] = T_WAIT;
+    g_array_append_val(j->waiting, piece);
+    c->want_round = true;
+}
+
+/* --- learning run times --- */
+
+void learn(mv_core *c, const job *j, double ran)
+{
+    if (j->spec.guess_s <= 0)
+        return;
+    learnt_lane *l = g_hash_table_lookup(c->learnt, j->spec.lane);
+    if (!l) {
+        l = g_new0(learnt_lane, 1);
+        l->ratio = 1;
+        g_hash_table_insert(c->learnt, g_strdup(j->spec.lane), l);
+    }
+    double ratio = CLAMP(ran / j->spec.guess_s, 0.05, 20);
+    l->n++;
+    l->ratio += (ratio - l->ratio) / MIN(l->n + 1, MV_LEARN_WINDOW);
+}
+
+double job_guess(const mv_core *c, const job *j)
+{
+    const learnt_lane *l = g_hash_table_lookup(c->learnt, j->spec.lane);
+    return j->spec.guess_s * (l ? l->ratio : 1);
+}
+
+/* --- what fits where --- */
+
+static bool type_allowed(const mv_job *spec, const mv_type *t)
+{
+    if (spec->cores > t->cores || spec->cards > t->cards || spec->ram_gb > t->ram_gb)
+        return false;
+    bool named = spec->hulls == NULL;
+    for (size_t i = 0; i < spec->n_hulls && !named; i++)
+        named = strcmp(spec->hulls[i], t->name) == 0;
+    if (!named)
+        return false;
+    bool zone = !spec->has_yard;
+    for (size_t i = 0; i < t->n_yards && !zone; i++)
+        zone = strcmp(t->yards[i], spec->yard) == 0;
+    return zone;
+}
+
+uint32_t type_mask(const mv_core *c, const mv_job *spec)
+{
+    uint32_t mask = 0;
+    for (guint i = 0; c->types && i < c->types->len; i++)
+        if (type_allowed(spec, &g_array_index(c->types, mv_type, i)))
+            mask |= 1u << i;
+    return mask;
+}
+
+bool allowed_on(const mv_core *c, const job *j, const machine *m)
+{
+    const mv_type *t = type_of(c, m);
+    return t && type_allowed(&j->spec, t) && (!m->loaners || j->spec.loaners) &&
+           (!j->spec.has_yard || strcmp(j->spec.yard, m->yard) == 0);
+}
+
+/* --- storing progress and ends --- */
+
+static GBytes *pack_chunk(const job *j, unsigned chunk)
+{
+    uint32_t base = chunk * MV_CHUNK_TASKS;
+    uint32_t n = MIN(MV_CHUNK_TASKS, j->spec.pieces - base);
+    g_autoptr(GString) bits = g_string_sized_new(n / 4 + 2);
+    for (uint32_t i = 0; i < n; i += 4) {
+        int digit = 0;
+        for (uint32_t k = 0; k < 4 && i + k < n; k++)
+            digit |= (j->state[base + i + k] >= T_DONE) << k;
+        g_string_append_c(bits, "0123456789abcdef"[digit]);
+    }
+    return mv_progress_pack(bits->str, j->n_running);
+}
+
+static void shard_key(const job *j, char *out, size_t size)
+{
+    g_snprintf(out, size, K_SHARD "%u", j->team->shard->index);
+}
+
+/* One transaction ends a job: the live records go, the final one stays. Only the owner may, and
+ * only while neither its grant nor the job's record has changed. */
+static void end_job(mv_core *c, job *j)
+{
+    char key[MV_KEY_SIZE], owner[MV_KEY_SIZE];
+    mv_action *a = txn(c, true);
+    shard_key(j, owner, sizeof owner);
+    txn_if(a, owner, j->team->shard->stamp);
+    g_snprintf(key, sizeof key, K_JOB "%s", j->spec.id);
+    txn_if(a, key, j->stamp);
+    txn_remove(a, key);
+    for (unsigned i = 0; i < j->chunks; i++)
+        if (j->chunk_stamp[i]) {
+            g_snprintf(key, sizeof key, K_PROGRESS "%s/%u", j->spec.id, i);
+            txn_remove(a, key);
+        }
+    g_snprintf(key, sizeof key, K_FINAL "%s", j->spec.id);
+    txn_if(a, key, 0);
+    txn_set(a, key, mv_final_pack(true, j->spec.pieces, wall(c)), false);
+    j->ending = true;
+    j->ending_txn = a->id;
+    j->flushed_at = c->now;
+}
+
+/* Many chunks of many jobs of one shard share a transaction. */
+static void flush_progress(mv_core *c, shard *s)
+{
+    if (pending(&c->progress_txn, c->progress_txn_at, c->now))
+        return;
+    mv_action *a = NULL;
+    unsigned ops = 0;
+    size_t bytes = 0;
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, c->jobs);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        job *j = v;
+        if (!j->team || j->team->shard != s || j->ending || c->now < j->flushed_at + MV_FLUSH_S)
+            continue;
+        if (j->n_running != j->shown_running && (!j->n_running || !j->shown_running))
+            j->chunk_dirty[0] = true; /* others tell users pending or running by it */
+        for (unsigned i = 0; i < j->chunks && ops < MIN(c->conf->txn_ops, MV_FLUSH_OPS); i++) {
+            if (!j->chunk_dirty[i])
+                continue;
+            char key[MV_KEY_SIZE], job_key[MV_KEY_SIZE];
+            if (!a) {
+                a = txn(c, false);
+                shard_key(j, key, sizeof key);
+                txn_if(a, key, s->stamp);
+            }
+            g_snprintf(job_key, sizeof job_key, K_JOB "%s", j->spec.id);
+            txn_if(a, job_key, j->stamp);
+            g_snprintf(key, sizeof key, K_PROGRESS "%s/%u", j->spec.id, i);
+            GBytes *data = pack_chunk(j, i);
+            bytes += g_bytes_get_size(data) + sizeof key;
+            txn_set(a, key, data, false);
+            j->chunk_dirty[i] = false;
+            j->flushed_at = c->now;
+            ops++;
+            if (bytes > MV_TXN_BYTES / 2)
+                break;
+        }
+    }
+    if (!a)
+        return;
+    c->progress_txn = a->id;
+    c->progress_txn_at = c->now;
+}
+
+/* Whatever a flush that failed left out is written again. */
+static void mark_unstored(job *j)
+{
+    for (unsigned i = 0; i < j->chunks; i++) {
+        uint32_t base = i * MV_CHUNK_TASKS;
+        for (uint32_t k = 0; k < MV_CHUNK_TASKS && base + k < j->spec.pieces; k++)
+            if (j->state[base + k] == T_DONE) {
+                j->chunk_dirty[i] = true;
+                break;
+            }
+    }
+}
+
+void jobs_tick(mv_core *c)
+{
+    if (!session_ok(c))
+        return;
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, c->jobs);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        job *j = v;
+        if (!job_mine(c, j))
+            continue;
+        if (j->n_done == j->spec.pieces && !j->ending && c->now >= j->flushed_at + MV_END_PAUSE_S)
+            end_job(c, j);
+        else if (j->ending && c->now > j->flushed_at + 3.0 * MV_STATE_TIMEOUT_MS / 1000)
+            j->ending = false; /* its answer was lost, and so, perhaps, was the request */
+        else if (j->n_stored < j->n_done && !c->progress_txn &&
+                 c->now > j->flushed_at + 2 * MV_FLUSH_S)
+            mark_unstored(j);
+    }
+    for (guint i = 0; i < c->shards->len; i++)
+        if (holds(c, g_ptr_array_index(c->shards, i)))
+            flush_progress(c, g_ptr_array_index(c->shards, i));
+}
--- /dev/null
+++ b/src/coordination/machines.c
@@ -0,0 +1,585 @@
+/* Machines of our blocks: what their reports prove, and the orders they get. */
+#include "coordination/internal.h"
+
+#include "bookkeeping/log.h"
+
+#include <string.h>
+
+/* --- life --- */
+
+machine *machine_new(mv_core *c, const char *id)
+{
+    machine *m = g_new0(machine, 1);
+    g_strlcpy(m->id, id, sizeof m->id);
+    m->type = -1;
+    m->placements = g_ptr_array_new_with_free_func(g_free);
+    m->sticky = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    m->images = g_queue_new();
+    m->failed_jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    m->rented_at = m->idle_since = c->now;
+    g_hash_table_insert(c->machines, m->id, m);
+    g_ptr_array_add(c->turn, m);
+    return m;
+}
+
+void machine_free(gpointer p)
+{
+    machine *m = p;
+    g_ptr_array_unref(m->placements);
+    g_hash_table_unref(m->sticky);
+    g_hash_table_unref(m->failed_jobs);
+    g_queue_free_full(m->images, g_free);
+    g_free(m);
+}
+
+/* Forgets what an earlier term taught about its tasks; images and speed stay true. */
+void reset_machine(mv_core *c, machine *m)
+{
+    while (m->placements->len)
+        drop_placement(c, m, m->placements->len - 1, false);
+    g_hash_table_remove_all(m->sticky);
+    m->strangers = 0;
+    m->confirmed = m->fresh = m->give_back = m->lost = false;
+    m->command_id = 0;
+    m->command_fails = 0;
+    m->no_command_until = 0;
+    m->wants_command = false;
+    m->idle_since = c->now;
+}
+
+/* It is in no block any more: gone for certain, since only a release that was answered or an
+ * idle move takes it out. */
+void machine_left(mv_core *c, machine *m)
+{
+    while (m->placements->len)
+        drop_placement(c, m, m->placements->len - 1, true);
+    g_ptr_array_remove(c->turn, m);
+    c->want_round = true;
+    g_hash_table_remove(c->machines, m->id);
+}
+
+/* --- small questions --- */
+
+uint64_t token(const machine *m)
+{
+    return m->shard ? MAX(m->shard->holder.term, m->member_term) : 0;
+}
+
+const mv_type *type_of(const mv_core *c, const machine *m)
+{
+    if (!c->types)
+        return NULL;
+    if (m->type < 0)
+        for (guint i = 0; i < c->types->len; i++)
+            if (strcmp(g_array_index(c->types, mv_type, i).name, m->hull) == 0)
+                ((machine *)m)->type = (int)i;
+    return m->type < 0 ? NULL : &g_array_index(c->types, mv_type, m->type);
+}
+
+/* Not yet confirmed under our token, and recorded by a predecessor as one it used. */
+bool may_hold_tasks(const machine *m)
+{
+    return m->shard && !m->confirmed && !m->fresh &&
+           g_hash_table_contains(m->shard->used, m->id);
+}
+
+bool usable(const mv_core *c, const machine *m)
+{
+    return m->shard && holds(c, m->shard) && m->confirmed && !m->give_back && !m->faulty &&
+           !m->lost && !m->recall_at && !m->strangers &&
+           g_hash_table_contains(m->shard->used, m->id) &&
+           c->now - m->heard_at < MV_SILENT_REPORTS * c->conf->report_s;
+}
+
+void machine_free_room(const mv_core *c, const machine *m, double *cores, double *cards,
+                       double *ram)
+{
+    const mv_type *t = type_of(c, m);
+    *cores = t ? t->cores : 0;
+    *cards = t ? t->cards : 0;
+    *ram = t ? t->ram_gb : 0;
+    for (guint i = 0; i < m->placements->len; i++) {
+        const placement *p = g_ptr_array_index(m->placements, i);
+        *cores -= p->cores;
+        *cards -= p->cards;
+        *ram -= p->ram_gb;
+    }
+}
+
+bool has_image(const machine *m, const char *image)
+{
+    for (GList *l = m->images->head; l; l = l->next)
+        if (strcmp(((cached_image *)l->data)->name, image) == 0)
+            return true;
+    return false;
+}
+
+/* Reports do not list cached images: a task seen running proves its image, and the least recently
+ * used ones go first once the type's local room is full. */
+void touch_image(mv_core *c, machine *m, const char *image, double gb)
+{
+    for (GList *l = m->images->head; l; l = l->next)
+        if (strcmp(((cached_image *)l->data)->name, image) == 0) {
+            g_queue_unlink(m->images, l);
+            g_queue_push_head_link(m->images, l);
+            return;
+        }
+    cached_image *img = g_new0(cached_image, 1);
+    g_strlcpy(img->name, image, sizeof img->name);
+    img->gb = gb;
+    g_queue_push_head(m->images, img);
+    const mv_type *t = type_of(c, m);
+    double sum = 0;
+    for (GList *l = m->images->head; l; l = l->next)
+        sum += ((cached_image *)l->data)->gb;
+    while (t && sum > t->local_gb && m->images->length > 1) {
+        cached_image *old = g_queue_pop_tail(m->images);
+        sum -= old->gb;
+        g_free(old);
+    }
+}
+
+/* --- placements --- */
+
+void drop_placement(mv_core *c, machine *m, guint index, bool requeue)
+{
+    placement *p = g_ptr_array_index(m->placements, index);
+    job *j = g_hash_table_lookup(c->jobs, p->job);
+    p->team->used_cores -= p->cores;
+    p->team->used_cards -= p->cards;
+    if (m->placements->len == 1) /* sums of fractions: start again from none */
+        m->idle_since = c->now;
+    if (j) {
+        j->n_placed--;
+        j->n_running -= p->running_at > 0;
+        if (requeue && j->state[p->piece] == T_PLACED) {
+            task_requeue(c, j, p->piece);
+            c->counts.requeued++;
+        }
+    }
+    g_ptr_array_remove_index(m->placements, index);
+    c->want_round = true;
+}
+
+static int find_placement(const machine *m, const char *job_id, uint32_t piece)
+{
+    for (guint i = 0; i < m->placements->len; i++) {
+        const placement *p = g_ptr_array_index(m->placements, i);
+        if (p->piece == piece && strcmp(p->job, job_id) == 0)
+            return (int)i;
+    }
+    return -1;
+}
+
+static char *attempt_key(const char *job_id, uint32_t piece, uint64_t attempt)
+{
+    return g_strdup_printf("%s/%u/%" G_GUINT64_FORMAT, job_id, piece, attempt);
+}
+
+static void add_order(GArray *orders, mv_verb verb, const mv_piece *piece, double wind_down)
+{
+    mv_order o = {
+        .verb = verb, .piece = piece->piece, .attempt = piece->attempt, .wind_down_s = wind_down};
+    g_strlcpy(o.job, piece->job, sizeof o.job);
+    g_array_append_val(orders, o);
+}
+
+static void add_clear(const machine *m, GArray *orders, const mv_piece *piece)
+{
+    /* After a clear the worker would start a launch that still arrives late. */
+    g_autofree char *key = attempt_key(piece->job, piece->piece, piece->attempt);
+    if (!g_hash_table_contains(m->sticky, key))
+        add_order(orders, MV_CLEAR, piece, 0);
+}
+
+/* A task found on a machine by a controller that does not remember placing it. */
+static placement *adopt_piece(mv_core *c, machine *m, job *j, const mv_piece *piece)
+{
+    placement *p = g_new0(placement, 1);
+    g_strlcpy(p->job, piece->job, sizeof p->job);
+    p->piece = piece->piece;
+    p->attempt = piece->attempt;
+    job_unwait(j, piece->piece);
+    note_placed(c, m, j, p);
+    return p;
+}
+
+static void note_failure(mv_core *c, machine *m, job *j)
+{
+    c->counts.faults++;
+    j->fails++;
+    double pause = MV_RETRY_BASE_S * (1 << MIN(j->fails, 6u));
+    j->backoff_until = c->now + MIN(pause, MV_RETRY_MAX_S);
+    g_hash_table_add(m->failed_jobs, g_strdup(j->spec.id));
+    /* One job may be at fault itself; several point at the machine. */
+    if (g_hash_table_size(m->failed_jobs) >= MV_FAULTY_JOBS && !m->faulty) {
+        m->faulty = true;
+        mv_info("machine_faulty", "machine=%s jobs=%u", m->id,
+                g_hash_table_size(m->failed_jobs));
+    }
+}
+
+static void piece_ended(mv_core *c, machine *m, job *j, const mv_piece *piece, GArray *orders)
+{
+    int at = find_placement(m, piece->job, piece->piece);
+    placement *p = at < 0 ? NULL : g_ptr_array_index(m->placements, at);
+    bool ours = p && p->attempt == piece->attempt;
+    if (!j) {
+        if (ours)
+            drop_placement(c, m, (guint)at, false);
+        add_clear(m, orders, piece);
+        return;
+    }
+    if (piece->cause == MV_WHY_DONE) {
+        if (ours) {
+            if (p->running_at > 0)
+                learn(c, j, c->now - p->running_at);
+            touch_image(c, m, j->spec.bundle, j->spec.pull_gb);
+        }
+        if (ours)
+            drop_placement(c, m, (guint)at, false);
+        task_done(c, j, piece->piece);
+        /* Stored first: until then this report is the only proof. */
+        if (j->state[piece->piece] == T_STORED)
+            add_clear(m, orders, piece);
+        return;
+    }
+    if (ours) {
+        mv_debug("piece_ended", "piece=%s/%u machine=%s cause=%d", piece->job, piece->piece, m->id,
+                 piece->cause);
+        if (piece->cause == MV_WHY_ERROR)
+            note_failure(c, m, j);
+        else if (piece->cause != MV_WHY_STOPPED)
+            m->no_room_until = c->now + MV_REFUSED_START_S;
+        drop_placement(c, m, (guint)at, true);
+    }
+    add_clear(m, orders, piece);
+}
+
+static void piece_active(mv_core *c, machine *m, job *j, const mv_piece *piece, GArray *orders)
+{
+    int at = find_placement(m, piece->job, piece->piece);
+    placement *p = at < 0 ? NULL : g_ptr_array_index(m->placements, at);
+    if (p && p->attempt != piece->attempt) {
+        m->strangers++;
+        add_order(orders, MV_STOP, piece, 0);
+        return;
+    }
+    if (!p && j && job_mine(c, j) && j->state[piece->piece] == T_WAIT)
+        p = adopt_piece(c, m, j, piece);
+    if (!p) {
+        /* Of an ended job, or a second copy, or done already: it may not go on. */
+        m->strangers++;
+        add_order(orders, MV_STOP, piece, 0);
+        return;
+    }
+    p->seen = true;
+    p->unsettled = false;
+    if (!j) { /* cancelled */
+        add_order(orders, MV_STOP, piece, 0);
+        return;
+    }
+    if (piece->status != MV_PULLING && p->running_at == 0) {
+        p->running_at = c->now;
+        j->n_running++;
+        touch_image(c, m, j->spec.bundle, j->spec.pull_gb);
+    }
+    if (p->stopping && piece->status != MV_SAVING)
+        add_order(orders, MV_STOP, piece, j->spec.mark_every_s > 0 ? j->spec.mark_cost_s : 0);
+}
+
+static gboolean is_in_report(const mv_report *r, const placement *p)
+{
+    for (size_t i = 0; i < r->n_pieces; i++)
+        if (r->pieces[i].piece == p->piece && strcmp(r->pieces[i].job, p->job) == 0 &&
+            r->pieces[i].attempt == p->attempt)
+            return TRUE;
+    return FALSE;
+}
+
+static void launch_order(const placement *p, GArray *orders)
+{
+    mv_piece piece = {.piece = p->piece, .attempt = p->attempt};
+    g_strlcpy(piece.job, p->job, sizeof piece.job);
+    add_order(orders, MV_LAUNCH, &piece, 0);
+}
+
+/* Placements that a newer report does not show. */
+static void absent_placements(mv_core *c, machine *m, const mv_report *r, GArray *orders)
+{
+    for (guint i = m->placements->len; i-- > 0;) {
+        placement *p = g_ptr_array_index(m->placements, i);
+        if (is_in_report(r, p))
+            continue;
+        bool in_flight = p->sent_direct && m->command_id;
+        if (p->seen || p->tenure < r->tenure) {
+            drop_placement(c, m, i, true); /* it was there, or its session ended */
+        } else if (!g_hash_table_contains(c->jobs, p->job)) {
+            /* Cancelled before it was seen: gone once no launch can arrive any more. */
+            if (!in_flight && !p->unsettled)
+                drop_placement(c, m, i, false);
+        } else if (!in_flight) {
+            launch_order(p, orders); /* the same attempt again does no harm */
+        }
+    }
+}
+
+static bool newer(const machine *m, const mv_report *r)
+{
+    return r->tenure > m->tenure || (r->tenure == m->tenure && r->tick > m->tick);
+}
+
+static void new_tenure(mv_core *c, machine *m, uint64_t tenure)
+{
+    if (m->tenure && tenure > m->tenure) {
+        /* Its lease ran out: everything of earlier sessions is gone. */
+        for (guint i = m->placements->len; i-- > 0;)
+            if (((placement *)g_ptr_array_index(m->placements, i))->tenure < tenure)
+                drop_placement(c, m, i, true);
+        g_hash_table_remove_all(m->sticky);
+    }
+    m->tenure = tenure;
+}
+
+static void settle_attempts(machine *m)
+{
+    g_hash_table_remove_all(m->sticky);
+    for (guint i = 0; i < m->placements->len; i++) {
+        placement *p = g_ptr_array_index(m->placements, i);
+        p->unsettled = p->sent_direct = false;
+    }
+}
+
+/* Reads a report that is newer than any before; `orders` gets what the worker should do. */
+static void read_report(mv_core *c, machine *m, const mv_report *r, GArray *orders)
+{
+    bool was = m->confirmed;
+    new_tenure(c, m, r->tenure);
+    m->tick = r->tick;
+    m->heard_at = m->heard_any_at = c->now;
+    m->lost = false;
+    g_strlcpy(m->address, r->address, sizeof m->address);
+    m->recall_at = r->recall_s >= 0 ? c->now + r->recall_s : 0;
+    if (r->baton < token(m)) {
+        m->wants_command = true; /* shows the worker our token, and us its tasks */
+        return;
+    }
+    if (!was) /* nothing sent under an older token can arrive any more */
+        settle_attempts(m);
+    m->confirmed = true;
+    m->strangers = 0;
+    for (size_t i = 0; i < r->n_pieces; i++) {
+        const mv_piece *piece = &r->pieces[i];
+        job *j = g_hash_table_lookup(c->jobs, piece->job);
+        if (j && (piece->piece >= j->spec.pieces || !job_mine(c, j)))
+            j = NULL;
+        if (piece->status == MV_ENDED)
+            piece_ended(c, m, j, piece, orders);
+        else
+            piece_active(c, m, j, piece, orders);
+    }
+    absent_placements(c, m, r, orders);
+    if (!was) {
+        c->want_round = true;
+        mv_debug("confirmed", "machine=%s pieces=%zu", m->id, r->n_pieces);
+    }
+}
+
+/* --- reports --- */
+
+static void steer(const char *node, mv_report_answer *a)
+{
+    a->status = 421;
+    g_strlcpy(a->steward, node ? node : "", sizeof a->steward);
+}
+
+static void unknown_machine(mv_core *c, const mv_report *r, mv_report_answer *a)
+{
+    if (leads(c)) {
+        mv_member b = {.loaners = r->loaners, .at = wall(c)};
+        g_strlcpy(b.id, r->host, sizeof b.id);
+        g_strlcpy(b.address, r->address, sizeof b.address);
+        g_strlcpy(b.hull, r->hull, sizeof b.hull);
+        g_strlcpy(b.yard, r->yard, sizeof b.yard);
+        fleet_adopt(c, &b);
+        a->status = 503;
+        return;
+    }
+    bool other = c->leader_stamp && strcmp(c->leader.node, c->conf->node_name) != 0;
+    steer(other ? c->leader.node : NULL, a);
+}
+
+void mv_core_report(mv_core *c, double now, const mv_report *r, mv_report_answer *a)
+{
+    memset(a, 0, sizeof *a);
+    c->now = MAX(c->now, now);
+    if (!c->synced) {
+        steer(NULL, a);
+        return;
+    }
+    machine *m = g_hash_table_lookup(c->machines, r->host);
+    if (!m || !m->shard) {
+        unknown_machine(c, r, a);
+        return;
+    }
+    m->heard_any_at = c->now;
+    if (!m->address[0])
+        g_strlcpy(m->address, r->address, sizeof m->address);
+    if (!holds(c, m->shard) || r->baton > token(m)) {
+        bool other = strcmp(m->shard->holder.node, c->conf->node_name) != 0;
+        steer(other ? m->shard->holder.node : NULL, a);
+        return;
+    }
+    a->status = 200;
+    a->baton = token(m);
+    a->orders = g_array_new(FALSE, TRUE, sizeof(mv_order));
+    if (!newer(m, r)) /* a late copy: proves nothing, and its answer will be dropped */
+        return;
+    read_report(c, m, r, a->orders);
+    settle(c);
+}
+
+/* --- direct commands --- */
+
+static void command(mv_core *c, machine *m, GArray *orders)
+{
+    mv_action *a = act(c, MV_ACT_COMMAND);
+    g_strlcpy(a->machine, m->id, sizeof a->machine);
+    g_strlcpy(a->address, m->address, sizeof a->address);
+    a->baton = token(m);
+    a->tenure = MAX(m->tenure, 1);
+    a->orders = orders;
+    m->command_id = a->id;
+    m->command_baton = a->baton;
+    m->command_at = c->now;
+}
+
+/* Orders that should not wait for the next report. */
+static GArray *urgent_orders(mv_core *c, machine *m)
+{
+    GArray *orders = g_array_new(FALSE, TRUE, sizeof(mv_order));
+    for (guint i = 0; m->confirmed && i < m->placements->len; i++) {
+        placement *p = g_ptr_array_index(m->placements, i);
+        job *j = g_hash_table_lookup(c->jobs, p->job);
+        if (j && !p->seen && !p->sent_direct && !p->stopping) {
+            launch_order(p, orders);
+            p->sent_direct = true;
+        } else if (p->seen && (!j || p->stopping) && p->stop_sent_at == 0) {
+            mv_piece piece = {.piece = p->piece, .attempt = p->attempt};
+            g_strlcpy(piece.job, p->job, sizeof piece.job);
+            bool saves = j && j->spec.mark_every_s > 0;
+            add_order(orders, MV_STOP, &piece, saves ? j->spec.mark_cost_s : 0);
+            p->stop_sent_at = c->now;
+        }
+    }
+    return orders;
+}
+
+void flush_commands(mv_core *c)
+{
+    for (guint i = 0; i < c->turn->len; i++) {
+        machine *m = g_ptr_array_index(c->turn, i);
+        if (!m->wants_command || m->command_id || !m->address[0] ||
+            c->now < m->no_command_until || !m->shard || !holds(c, m->shard))
+            continue;
+        m->wants_command = false;
+        GArray *orders = urgent_orders(c, m);
+        if (orders->len || !m->confirmed)
+            command(c, m, orders);
+        else
+            g_array_unref(orders);
+    }
+}
+
+static machine *machine_of_command(mv_core *c, uint64_t id)
+{
+    for (guint i = 0; i < c->turn->len; i++) {
+        machine *m = g_ptr_array_index(c->turn, i);
+        if (m->command_id == id)
+            return m;
+    }
+    return NULL;
+}
+
+/* Launches of a command without an answer may still arrive, minutes later. */
+static void command_unanswered(mv_core *c, machine *m)
+{
+    m->command_fails++;
+    if (g_hash_table_size(m->sticky) == 0)
+        m->sticky_since = c->now;
+    m->no_command_until = c->now + MIN(0.5 * m->command_fails, c->conf->report_s);
+    for (guint i = 0; i < m->placements->len; i++) {
+        placement *p = g_ptr_array_index(m->placements, i);
+        if (p->seen || !p->sent_direct)
+            continue;
+        p->unsettled = true;
+        g_hash_table_add(m->sticky, attempt_key(p->job, p->piece, p->attempt));
+    }
+}
+
+void mv_core_command_done(mv_core *c, double now, uint64_t id, int status, const mv_report *r)
+{
+    c->now = MAX(c->now, now);
+    machine *m = machine_of_command(c, id);
+    if (!m)
+        return;
+    m->command_id = 0;
+    if (!r || (status != 200 && status != 409)) {
+        command_unanswered(c, m);
+        return;
+    }
+    m->command_fails = 0;
+    if (!m->shard || !holds(c, m->shard) || r->baton > token(m))
+        return;
+    if (newer(m, r)) {
+        g_autoptr(GArray) orders = g_array_new(FALSE, TRUE, sizeof(mv_order));
+        read_report(c, m, r, orders);
+        for (guint i = 0; status == 409 && i < m->placements->len; i++)
+            ((placement *)g_ptr_array_index(m->placements, i))->sent_direct = false;
+        if (status == 409 || !m->confirmed)
+            m->wants_command = true;
+    }
+    for (guint i = 0; i < m->placements->len; i++) {
+        placement *p = g_ptr_array_index(m->placements, i);
+        m->wants_command = m->wants_command || (!p->seen && !p->sent_direct);
+    }
+    settle(c);
+}
+
+/* --- time --- */
+
+static void watch_machine(mv_core *c, machine *m)
+{
+    double interval = c->conf->report_s;
+    double quiet = c->now - MAX(MAX(m->heard_at, m->shard->taken_at), m->rented_at);
+    /* After a take-over ask at once rather than wait for the worker to find us. */
+    if (!m->confirmed && m->address[0] && (m->heard_any_at || may_hold_tasks(m)))
+        m->wants_command = true;
+    if (m->heard_at && quiet > MV_SILENT_REPORTS * interval && m->address[0])
+        m->wants_command = !m->confirmed || m->wants_command;
+    bool expected = m->heard_at > 0 || may_hold_tasks(m);
+    bool lost = expected && quiet > MV_LOST_REPORTS * interval;
+    if (lost && !m->lost)
+        mv_info("machine_silent", "machine=%s quiet_s=%.1f pieces=%u", m->id, quiet,
+                m->placements->len);
+    m->lost = lost;
+    /* A task that saves may be stopped in time for the notice; others may still end by then. */
+    for (guint i = 0; m->recall_at && i < m->placements->len; i++) {
+        placement *p = g_ptr_array_index(m->placements, i);
+        const job *j = g_hash_table_lookup(c->jobs, p->job);
+        if (j && !p->stopping && j->spec.mark_every_s > 0 &&
+            m->recall_at - c->now < j->spec.mark_cost_s + MV_RECALL_SPARE_S) {
+            p->stopping = true;
+            m->wants_command = true;
+        }
+    }
+}
+
+void machines_tick(mv_core *c)
+{
+    for (guint i = 0; i < c->turn->len; i++) {
+        machine *m = g_ptr_array_index(c->turn, i);
+        if (m->shard && holds(c, m->shard))
+            watch_machine(c, m);
+    }
+}
--- /dev/null
+++ b/src/coordination/placement.c
@@ -0,0 +1,220 @@
+/* Fair Root Input Size: a task goes where most of its image's bytes lie; tasks whose image is
+ * cached nowhere go round the machines in turn. */
+#include "coordination/internal.h"
+
+#include "bookkeeping/log.h"
+
+#include <string.h>
+
+void note_placed(mv_core *c, machine *m, job *j, placement *p)
+{
+    g_strlcpy(p->job, j->spec.id, sizeof p->job);
+    p->tenure = m->tenure;
+    p->team = j->team;
+    p->cores = j->spec.cores;
+    p->cards = j->spec.cards;
+    p->ram_gb = j->spec.ram_gb;
+    p->placed_at = c->now;
+    p->team->used_cores += p->cores;
+    p->team->used_cards += p->cards;
+    g_ptr_array_add(m->placements, p);
+    j->state[p->piece] = T_PLACED;
+    j->n_placed++;
+}
+
+/* --- limits --- */
+
+/* Tasks of a predecessor on machines not yet heard of count at the most they can be. */
+static void unknown_use(const mv_core *c, const shard *s, double *cores, double *cards)
+{
+    *cores = *cards = 0;
+    for (guint i = 0; i < c->turn->len; i++) {
+        const machine *m = g_ptr_array_index(c->turn, i);
+        const mv_type *t = type_of(c, m);
+        if (m->shard == s && t && (may_hold_tasks(m) || m->strangers)) {
+            *cores += t->cores;
+            *cards += t->cards;
+        }
+    }
+}
+
+static bool within_limit(const mv_core *c, const job *j)
+{
+    const mv_team *t = j->team->conf;
+    double cores, cards;
+    if (t->cpus_max <= 0 && t->gpus_max <= 0)
+        return true;
+    unknown_use(c, j->team->shard, &cores, &cards);
+    return (t->cpus_max <= 0 ||
+            j->team->used_cores + cores + j->spec.cores <= t->cpus_max + MV_ROUNDING) &&
+           (t->gpus_max <= 0 ||
+            j->team->used_cards + cards + j->spec.cards <= t->gpus_max + MV_ROUNDING);
+}
+
+/* After a take-over a task known from before may run on a machine that is still silent. */
+static bool perhaps_running(const mv_core *c, const job *j)
+{
+    const shard *s = j->team->shard;
+    if (s->rebuilt || j->stamp > s->grant_stamp)
+        return false;
+    for (guint i = 0; i < c->turn->len; i++) {
+        const machine *m = g_ptr_array_index(c->turn, i);
+        if (m->shard == s && may_hold_tasks(m) && (!type_of(c, m) || allowed_on(c, j, m)))
+            return true;
+    }
+    return false;
+}
+
+/* --- zones --- */
+
+static bool zone_ok(const mv_core *c, const job *j, const machine *m)
+{
+    if (!j->spec.together && !j->spec.apart)
+        return true;
+    unsigned here = 0, elsewhere = 0;
+    for (guint i = 0; i < c->turn->len; i++) {
+        const machine *other = g_ptr_array_index(c->turn, i);
+        for (guint k = 0; k < other->placements->len; k++) {
+            const placement *p = g_ptr_array_index(other->placements, k);
+            if (strcmp(p->job, j->spec.id) != 0)
+                continue;
+            if (strcmp(other->yard, m->yard) == 0)
+                here++;
+            else
+                elsewhere++;
+        }
+    }
+    if (j->spec.together && elsewhere)
+        return false;
+    return !j->spec.apart || here + 1 <= (j->spec.pieces + 1) / 2;
+}
+
+/* --- choosing a machine --- */
+
+static bool has_room(const mv_core *c, const job *j, const machine *m)
+{
+    double cores, cards, ram;
+    machine_free_room(c, m, &cores, &cards, &ram);
+    return j->spec.cores <= cores + MV_ROUNDING && j->spec.cards <= cards + MV_ROUNDING &&
+           j->spec.ram_gb <= ram + MV_ROUNDING;
+}
+
+static machine *choose(mv_core *c, const job *j)
+{
+    bool cached_somewhere = false;
+    machine *best = NULL;
+    bool best_cached = false;
+    guint best_at = 0;
+    for (guint k = 0; k < c->turn->len; k++) {
+        guint at = (c->next_turn + k) % c->turn->len;
+        machine *m = g_ptr_array_index(c->turn, at);
+        if (m->shard != j->team->shard || !usable(c, m) || c->now < m->no_room_until ||
+            !allowed_on(c, j, m))
+            continue;
+        bool cached = has_image(m, j->spec.bundle);
+        cached_somewhere = cached_somewhere || cached;
+        if ((best && (best_cached || !cached)) || !has_room(c, j, m) || !zone_ok(c, j, m))
+            continue;
+        best = m;
+        best_cached = cached;
+        best_at = at;
+    }
+    if (!best)
+        return NULL;
+    if (cached_somewhere && !best_cached && c->now < j->ready_at + c->conf->tune.image_wait_s)
+        return NULL; /* a machine that has the image may get room */
+    c->next_turn = best_at + 1;
+    return best;
+}
+
+static void place(mv_core *c, job *j, machine *m)
+{
+    placement *p = g_new0(placement, 1);
+    guint last = j->waiting->len - 1;
+    p->piece = g_array_index(j->waiting, uint32_t, last);
+    g_array_set_size(j->waiting, last);
+    /* The term makes attempts of successive owners differ, the counter those of one owner. */
+    p->attempt = (token(m) << MV_ATTEMPT_BITS) | (++c->attempts & ((1u << MV_ATTEMPT_BITS) - 1));
+    note_placed(c, m, j, p);
+    m->wants_command = true;
+    c->counts.placed++;
+    mv_debug("place", "piece=%s/%u machine=%s waited_s=%.2f cached=%d", j->spec.id, p->piece,
+             m->id, c->now - j->ready_at, has_image(m, j->spec.bundle));
+}
+
+/* --- order --- */
+
+static gint by_arrival(gconstpointer a, gconstpointer b)
+{
+    const job *x = *(job *const *)a, *y = *(job *const *)b;
+    if (x->accepted_at != y->accepted_at)
+        return x->accepted_at < y->accepted_at ? -1 : 1;
+    return strcmp(x->spec.id, y->spec.id);
+}
+
+/* Guaranteed work first, then urgency, then the least slack before the deadline, then arrival. */
+static gint by_claim(gconstpointer a, gconstpointer b)
+{
+    const job *x = *(job *const *)a, *y = *(job *const *)b;
+    if (x->guaranteed != y->guaranteed)
+        return x->guaranteed ? -1 : 1;
+    if (x->spec.urgency != y->spec.urgency)
+        return x->spec.urgency < y->spec.urgency ? -1 : 1;
+    if (x->slack != y->slack)
+        return x->slack < y->slack ? -1 : 1;
+    return by_arrival(a, b);
+}
+
+/* A job is guaranteed when it fits its team's share along with the team's earlier unfinished
+ * jobs. */
+static void judge(mv_core *c, GPtrArray *jobs)
+{
+    g_autofree double *sum = g_new0(double, c->conf->n_teams);
+    g_ptr_array_sort(jobs, by_arrival);
+    for (guint i = 0; i < jobs->len; i++) {
+        job *j = g_ptr_array_index(jobs, i);
+        size_t t = (size_t)(j->team - c->teams);
+        sum[t] += j->spec.cores * (j->spec.pieces - j->n_done);
+        j->guaranteed = j->team->conf->cpus > 0 && sum[t] <= j->team->conf->cpus + MV_ROUNDING;
+        j->slack = j->spec.due_s < 0
+                       ? G_MAXDOUBLE
+                       : j->accepted_at + j->spec.due_s - c->now - job_guess(c, j);
+    }
+}
+
+static void fill_from(mv_core *c, job *j)
+{
+    while (j->waiting->len && within_limit(c, j)) {
+        machine *m = choose(c, j);
+        if (!m)
+            return;
+        place(c, j, m);
+    }
+}
+
+void place_round(mv_core *c)
+{
+    c->counts.rounds++;
+    g_autoptr(GPtrArray) jobs = g_ptr_array_new();
+    unsigned waiting = 0, running = 0;
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, c->jobs);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        job *j = v;
+        if (!job_mine(c, j))
+            continue;
+        g_ptr_array_add(jobs, j);
+        waiting += j->waiting->len;
+        running += j->n_running;
+    }
+    judge(c, jobs);
+    g_ptr_array_sort(jobs, by_claim);
+    for (guint i = 0; i < jobs->len; i++) {
+        job *j = g_ptr_array_index(jobs, i);
+        if (j->waiting->len && c->now >= j->backoff_until && !perhaps_running(c, j))
+            fill_from(c, j);
+    }
+    c->counts.waiting = waiting;
+    c->counts.running = running;
+}
--- /dev/null
+++ b/src/protocol/records.c
@@ -0,0 +1,158 @@
+#include "protocol/records.h"
+
+#include "protocol/names.h"
+
+#include <string.h>
+
+GBytes *mv_holder_pack(const mv_holder *h)
+{
+    mv_out *o = mv_out_new();
+    mv_put_map(o, h->teams ? 4 : 3);
+    mv_field_text(o, R_NODE, h->node);
+    mv_field_u64(o, R_INC, h->incarnation);
+    mv_field_u64(o, R_TERM, h->term);
+    if (h->teams) {
+        mv_put_text(o, R_TEAMS);
+        mv_put_list(o, h->teams->len);
+        for (guint i = 0; i < h->teams->len; i++)
+            mv_put_text(o, g_ptr_array_index(h->teams, i));
+    }
+    return mv_out_take(o);
+}
+
+bool mv_holder_parse(const msgpack_object *o, mv_holder *out)
+{
+    memset(out, 0, sizeof *out);
+    if (mv_get_text(o, R_NODE, out->node, MV_NAME_SIZE) != MV_GOT ||
+        mv_get_u64(o, R_INC, &out->incarnation) != MV_GOT ||
+        mv_get_u64(o, R_TERM, &out->term) != MV_GOT)
+        return false;
+    const msgpack_object_array *teams = mv_get_list(o, R_TEAMS);
+    if (!teams)
+        return true;
+    out->teams = g_ptr_array_new_with_free_func(g_free);
+    for (uint32_t i = 0; i < teams->size; i++) {
+        char name[MV_NAME_SIZE];
+        if (mv_text_copy(&teams->ptr[i], name, sizeof name))
+            g_ptr_array_add(out->teams, g_strdup(name));
+    }
+    return true;
+}
+
+void mv_holder_clear(mv_holder *h)
+{
+    g_clear_pointer(&h->teams, g_ptr_array_unref);
+}
+
+GBytes *mv_block_pack(const GArray *members)
+{
+    mv_out *o = mv_out_new();
+    mv_put_map(o, 1);
+    mv_put_text(o, R_MACHINES);
+    mv_put_list(o, members->len);
+    for (guint i = 0; i < members->len; i++) {
+        const mv_member *m = &g_array_index(members, mv_member, i);
+        mv_put_map(o, 7);
+        mv_field_text(o, N_ID, m->id);
+        mv_field_text(o, N_ADDRESS, m->address);
+        mv_field_text(o, N_HULL, m->hull);
+        mv_field_text(o, N_YARD, m->yard);
+        mv_field_bool(o, N_LOANERS, m->loaners);
+        mv_field_u64(o, R_TERM, m->term);
+        mv_field_num(o, R_AT, m->at);
+    }
+    return mv_out_take(o);
+}
+
+GArray *mv_block_parse(const msgpack_object *o)
+{
+    const msgpack_object_array *list = mv_get_list(o, R_MACHINES);
+    if (!list)
+        return NULL;
+    GArray *out = g_array_new(FALSE, TRUE, sizeof(mv_member));
+    for (uint32_t i = 0; i < list->size; i++) {
+        const msgpack_object *item = &list->ptr[i];
+        mv_member m = {0};
+        if (mv_get_text(item, N_ID, m.id, MV_NAME_SIZE) != MV_GOT)
+            continue;
+        mv_get_text(item, N_ADDRESS, m.address, sizeof m.address);
+        mv_get_text(item, N_HULL, m.hull, MV_NAME_SIZE);
+        mv_get_text(item, N_YARD, m.yard, MV_NAME_SIZE);
+        mv_get_bool(item, N_LOANERS, &m.loaners);
+        mv_get_u64(item, R_TERM, &m.term);
+        mv_get_num(item, R_AT, &m.at);
+        g_array_append_val(out, m);
+    }
+    return out;
+}
+
+GBytes *mv_counter_pack(uint64_t n)
+{
+    mv_out *o = mv_out_new();
+    mv_put_map(o, 1);
+    mv_field_u64(o, R_TERM, n);
+    return mv_out_take(o);
+}
+
+bool mv_counter_parse(const msgpack_object *o, uint64_t *n)
+{
+    return mv_get_u64(o, R_TERM, n) == MV_GOT;
+}
+
+GBytes *mv_accepted_pack(const mv_job *job, double at)
+{
+    mv_out *o = mv_out_new();
+    mv_job_write(o, job, 1);
+    mv_field_num(o, R_AT, at);
+    return mv_out_take(o);
+}
+
+bool mv_accepted_parse(const msgpack_object *o, mv_job *job, double *at)
+{
+    if (mv_job_parse(o, job) == NULL && mv_get_num(o, R_AT, at) == MV_GOT)
+        return true;
+    mv_job_clear(job);
+    return false;
+}
+
+GBytes *mv_progress_pack(const char *bits, unsigned running)
+{
+    mv_out *o = mv_out_new();
+    mv_put_map(o, 2);
+    mv_field_text(o, R_BITS, bits);
+    mv_field_u64(o, N_RUNNING, running);
+    return mv_out_take(o);
+}
+
+bool mv_progress_parse(const msgpack_object *o, GString *bits, unsigned *running)
+{
+    const msgpack_object *b = mv_get(o, R_BITS);
+    uint64_t n = 0;
+    if (!b || b->type != MSGPACK_OBJECT_STR || mv_get_u64(o, N_RUNNING, &n) == MV_BAD)
+        return false;
+    g_string_truncate(bits, 0);
+    g_string_append_len(bits, b->via.str.ptr, b->via.str.size);
+    *running = (unsigned)n;
+    return true;
+}
+
+GBytes *mv_final_pack(bool done, unsigned pieces, double at)
+{
+    mv_out *o = mv_out_new();
+    mv_put_map(o, 3);
+    mv_field_text(o, N_STATUS, done ? N_DONE : N_WITHDRAWN);
+    mv_field_u64(o, N_PIECES, pieces);
+    mv_field_num(o, R_AT, at);
+    return mv_out_take(o);
+}
+
+bool mv_final_parse(const msgpack_object *o, bool *done, unsigned *pieces)
+{
+    uint64_t n = 0;
+    const msgpack_object *status = mv_get(o, N_STATUS);
+    if (mv_get_u64(o, N_PIECES, &n) != MV_GOT)
+        return false;
+    *pieces = (unsigned)n;
+    *done = mv_text_is(status, N_DONE);
+    return *done || mv_text_is(status, N_WITHDRAWN);
+}
--- /dev/null
+++ b/src/protocol/records.h
@@ -0,0 +1,43 @@
+/* The service's own records in the state service. */
+#ifndef MV_RECORDS_H
+#define MV_RECORDS_H
+#include "protocol/messages.h"
+
+/* Who holds a shard: some teams and a block of machines. Also used for a controller's own entry
+ * and the leader's, which have no teams. */
+typedef struct {
+    char node[MV_NAME_SIZE];
+    uint64_t incarnation, term;
+    GPtrArray *teams; /* of char *, or NULL */
+} mv_holder;
+
+typedef struct {
+    char id[MV_NAME_SIZE], address[64], hull[MV_NAME_SIZE], yard[MV_NAME_SIZE];
+    bool loaners;
+    uint64_t term;
+    double at; /* wall clock of the rental, seconds */
+} mv_member;
+
+GBytes *mv_holder_pack(const mv_holder *h);
+bool mv_holder_parse(const msgpack_object *o, mv_holder *out);
+void mv_holder_clear(mv_holder *h);
+
+/* A block: list of mv_member. */
+GBytes *mv_block_pack(const GArray *members);
+GArray *mv_block_parse(const msgpack_object *o);
+
+GBytes *mv_counter_pack(uint64_t n);
+bool mv_counter_parse(const msgpack_object *o, uint64_t *n);
+
+/* An accepted job with the wall clock of its acceptance. */
+GBytes *mv_accepted_pack(const mv_job *job, double at);
+bool mv_accepted_parse(const msgpack_object *o, mv_job *job, double *at);
+
+/* Done tasks of one chunk as hex digits, and how many run. */
+GBytes *mv_progress_pack(const char *bits, unsigned running);
+bool mv_progress_parse(const msgpack_object *o, GString *bits, unsigned *running);
+
+/* How a job ended. */
+GBytes *mv_final_pack(bool done, unsigned pieces, double at);
+bool mv_final_parse(const msgpack_object *o, bool *done, unsigned *pieces);
+#endif
--- /dev/null
+++ b/src/service/daemon.c
@@ -0,0 +1,727 @@
+#include "service/daemon.h"
+
+#include "bookkeeping/log.h"
+#include "bookkeeping/metrics.h"
+#include "peer.pb-c.h"
+#include "protocol/names.h"
+#include "transport/http_client.h"
+#include "transport/http_server.h"
+#include "transport/peer.h"
+
+#include <pthread.h>
+#include <string.h>
+#include <time.h>
+
+typedef void *(*routine)(void *);
+
+struct mv_daemon {
+    const mv_settings *conf;
+    mv_core *core;
+    mv_state *state;
+    pthread_mutex_t lock;
+    pthread_cond_t stop_cond;
+    bool stopping;
+    GPtrArray *threads; /* of pthread_t * */
+    GAsyncQueue *txns, *commands, *cloud, *demands;
+    mv_http_server *http;
+    mv_peer_server *back;
+    mv_peer **peers; /* like conf->siblings */
+    char cloud_at[80];
+    GHashTable *known; /* key -> stamp, the copy's keys, used by the follower only */
+    GHashTable *listed;
+};
+
+/* --- time and lock --- */
+
+static double steady(void)
+{
+    struct timespec ts;
+    clock_gettime(CLOCK_MONOTONIC, &ts);
+    return (double)ts.tv_sec + (double)ts.tv_nsec / 1e9;
+}
+
+static double time_of_day(void)
+{
+    return (double)g_get_real_time() / 1e6;
+}
+
+const mv_settings *mv_daemon_settings(const mv_daemon *d)
+{
+    return d->conf;
+}
+
+mv_state *mv_daemon_state(mv_daemon *d)
+{
+    return d->state;
+}
+
+mv_core *mv_daemon_enter(mv_daemon *d, double *now)
+{
+    pthread_mutex_lock(&d->lock);
+    *now = steady();
+    return d->core;
+}
+
+void mv_daemon_leave(mv_daemon *d)
+{
+    mv_action *a;
+    while ((a = mv_core_next(d->core))) {
+        switch (a->kind) {
+        case MV_ACT_TXN:
+            if (a->urgent)
+                g_async_queue_push_front(d->txns, a);
+            else
+                g_async_queue_push(d->txns, a);
+            break;
+        case MV_ACT_COMMAND:
+            g_async_queue_push(d->commands, a);
+            break;
+        case MV_ACT_DEMAND:
+            g_async_queue_push(d->demands, a);
+            break;
+        default:
+            g_async_queue_push(d->cloud, a);
+        }
+    }
+    pthread_mutex_unlock(&d->lock);
+}
+
+static bool stopping(mv_daemon *d)
+{
+    pthread_mutex_lock(&d->lock);
+    bool stop = d->stopping;
+    pthread_mutex_unlock(&d->lock);
+    return stop;
+}
+
+/* Sleeps, but not beyond the end; false at the end. */
+static bool rest(mv_daemon *d, double seconds)
+{
+    struct timespec until;
+    clock_gettime(CLOCK_MONOTONIC, &until);
+    double at = (double)until.tv_sec + (double)until.tv_nsec / 1e9 + seconds;
+    until.tv_sec = (time_t)at;
+    until.tv_nsec = (long)((at - (double)until.tv_sec) * 1e9);
+    pthread_mutex_lock(&d->lock);
+    while (!d->stopping &&
+           pthread_cond_timedwait(&d->stop_cond, &d->lock, &until) == 0)
+        ;
+    bool go_on = !d->stopping;
+    pthread_mutex_unlock(&d->lock);
+    return go_on;
+}
+
+/* The next action of a queue, or NULL at the end, which is told by a stop mark. */
+static mv_action *take(mv_daemon *d, GAsyncQueue *queue)
+{
+    mv_action *a = g_async_queue_pop(queue);
+    if (stopping(d)) {
+        mv_action_free(a);
+        return NULL;
+    }
+    return a;
+}
+
+/* --- session --- */
+
+static void *session_routine(void *arg)
+{
+    mv_daemon *d = arg;
+    uint64_t incarnation = 0; /* the first session's number names this process */
+    bool have = false;
+    do {
+        double sent = steady(), now;
+        uint64_t hold = 0;
+        mv_state_result r = have ? mv_state_session_renew(d->state)
+                                 : mv_state_session_open(d->state, &hold);
+        if (r == MV_STATE_OK && !have)
+            mv_info("session", "hold=%" G_GUINT64_FORMAT, hold);
+        if (r == MV_STATE_OK && !incarnation)
+            incarnation = hold;
+        mv_core *core = mv_daemon_enter(d, &now);
+        if (r == MV_STATE_OK)
+            mv_core_session(core, now, incarnation, sent);
+        else if (r == MV_STATE_MISSING)
+            mv_core_session(core, now, 0, sent);
+        mv_daemon_leave(d);
+        have = r == MV_STATE_OK || (have && r != MV_STATE_MISSING);
+        if (r != MV_STATE_OK)
+            mv_log_limited(MV_LOG_INFO, "session_trouble", "result=%d have=%d", r, have);
+        if (r == MV_STATE_MISSING)
+            continue;
+        if (!rest(d, r == MV_STATE_OK ? MV_SESSION_RENEW_S : MV_SESSION_RETRY_S))
+            break;
+    } while (!stopping(d));
+    return NULL;
+}
+
+/* --- the copy of the records --- */
+
+static void seen_listed(void *ctx, const char *key, GBytes *data, uint64_t stamp)
+{
+    mv_daemon *d = ctx;
+    double now;
+    (void)stamp;
+    g_hash_table_add(d->listed, g_strdup(key));
+    g_hash_table_add(d->known, g_strdup(key));
+    mv_core *core = mv_daemon_enter(d, &now);
+    mv_core_record(core, now, key, data, stamp);
+    mv_daemon_leave(d);
+}
+
+static void seen_followed(void *ctx, const char *key, GBytes *data, uint64_t stamp)
+{
+    mv_daemon *d = ctx;
+    double now;
+    if (data)
+        g_hash_table_add(d->known, g_strdup(key));
+    else
+        g_hash_table_remove(d->known, key);
+    mv_core *core = mv_daemon_enter(d, &now);
+    mv_core_record(core, now, key, data, stamp);
+    mv_daemon_leave(d);
+}
+
+/* Lists all records; what was known and is not listed has been removed meanwhile. */
+static bool list_records(mv_daemon *d, uint64_t *epoch)
+{
+    d->listed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    mv_state_result r = mv_state_list(d->state, seen_listed, d, epoch);
+    if (r == MV_STATE_OK) {
+        GHashTableIter it;
+        gpointer key;
+        double now;
+        mv_core *core = mv_daemon_enter(d, &now);
+        g_hash_table_iter_init(&it, d->known);
+        while (g_hash_table_iter_next(&it, &key, NULL))
+            if (!g_hash_table_contains(d->listed, key)) {
+                mv_core_record(core, now, key, NULL, 0);
+                g_hash_table_iter_remove(&it);
+            }
+        mv_core_synced(core, now);
+        mv_daemon_leave(d);
+    }
+    g_clear_pointer(&d->listed, g_hash_table_unref);
+    return r == MV_STATE_OK;
+}
+
+static bool has_incarnation(mv_daemon *d)
+{
+    double now;
+    mv_core *core = mv_daemon_enter(d, &now);
+    bool yes = mv_core_in_session(core);
+    mv_daemon_leave(d);
+    return yes;
+}
+
+static void *follow_routine(void *arg)
+{
+    mv_daemon *d = arg;
+    uint64_t epoch = 0;
+    bool listed = false;
+    /* Grants name the incarnation, so it has to be known before the first record is read. */
+    while (!has_incarnation(d))
+        if (!rest(d, MV_SESSION_RETRY_S / 4))
+            return NULL;
+    while (!stopping(d)) {
+        double sent = steady(), now;
+        mv_state_result r = MV_STATE_OK;
+        if (!listed)
+            r = (listed = list_records(d, &epoch)) ? MV_STATE_OK : MV_STATE_REFUSED;
+        else
+            r = mv_state_follow(d->state, seen_followed, d, &epoch);
+        if (r == MV_STATE_GONE)
+            listed = false;
+        if (r == MV_STATE_OK) {
+            mv_core *core = mv_daemon_enter(d, &now);
+            mv_core_followed(core, now, sent);
+            mv_daemon_leave(d);
+        }
+        if (!rest(d, r == MV_STATE_OK ? MV_FOLLOW_PAUSE_MS / 1000.0 : MV_SESSION_RETRY_S))
+            break;
+    }
+    return NULL;
+}
+
+/* --- time --- */
+
+static void *tick_routine(void *arg)
+{
+    mv_daemon *d = arg;
+    do {
+        double now;
+        mv_core *core = mv_daemon_enter(d, &now);
+        mv_core_tick(core, now, time_of_day());
+        mv_daemon_leave(d);
+    } while (rest(d, MV_TICK_S));
+    return NULL;
+}
+
+/* --- doing what the core decided --- */
+
+static void *txn_routine(void *arg)
+{
+    mv_daemon *d = arg;
+    mv_action *a;
+    while ((a = take(d, d->txns))) {
+        double began = steady(), now;
+        mv_state_result r = mv_state_txn(d->state, a->conds, a->changes, a->urgent);
+        mv_metrics_latency(MV_LAT_TXN, steady() - began);
+        mv_debug("txn", "key=%s result=%d took_s=%.3f",
+                 a->changes->len ? g_array_index(a->changes, mv_change, 0).key : "-", r,
+                 steady() - began);
+        mv_core *core = mv_daemon_enter(d, &now);
+        mv_core_txn_done(core, now, a->id,
+                         r == MV_STATE_OK         ? MV_TXN_OK
+                         : r == MV_STATE_CONFLICT ? MV_TXN_CONFLICT
+                                                  : MV_TXN_UNKNOWN);
+        mv_daemon_leave(d);
+        mv_action_free(a);
+    }
+    return NULL;
+}
+
+static void *command_routine(void *arg)
+{
+    mv_daemon *d = arg;
+    mv_action *a;
+    while ((a = take(d, d->commands))) {
+        double began = steady(), now;
+        g_autoptr(GBytes) body = mv_orders_pack(a->baton, a->tenure, a->orders);
+        mv_http_answer answer;
+        mv_http_call("POST", a->address, N_COMMANDS, body, MV_COMMAND_TIMEOUT_MS, &answer);
+        mv_metrics_latency(MV_LAT_COMMAND, steady() - began);
+        mv_metrics_status(MV_LAT_COMMAND, answer.status);
+        gsize n;
+        const void *p = g_bytes_get_data(answer.body, &n);
+        g_autoptr(mv_doc) doc = answer.status ? mv_doc_parse(p, n) : NULL;
+        mv_report report = {0};
+        bool ok = doc && mv_report_parse(mv_doc_root(doc), &report);
+        mv_debug("command", "machine=%s status=%d orders=%u took_s=%.3f", a->machine,
+                 answer.status, a->orders->len, steady() - began);
+        mv_core *core = mv_daemon_enter(d, &now);
+        mv_core_command_done(core, now, a->id, answer.status, ok ? &report : NULL);
+        mv_daemon_leave(d);
+        mv_report_clear(&report);
+        mv_http_answer_clear(&answer);
+        mv_action_free(a);
+    }
+    return NULL;
+}
+
+static void rent(mv_daemon *d, const mv_action *a, const mv_http_answer *answer, mv_doc *doc)
+{
+    double now;
+    bool refused = false;
+    GPtrArray *hosts = NULL;
+    if (answer->status == 200 && doc)
+        hosts = mv_hosts_parse(mv_doc_root(doc));
+    else if (doc)
+        refused = answer->status == 400 ||
+                  (answer->status == 503 &&
+                   mv_text_is(mv_get(mv_doc_root(doc), N_ERROR), N_NO_CAPACITY));
+    mv_core *core = mv_daemon_enter(d, &now);
+    mv_core_rent_done(core, now, a->id, hosts, refused);
+    mv_daemon_leave(d);
+    if (hosts)
+        g_ptr_array_unref(hosts);
+}
+
+static void listed(mv_daemon *d, const mv_action *a, mv_doc *doc)
+{
+    double now;
+    bool more = false;
+    GArray *list = doc ? mv_list_parse(mv_doc_root(doc), &more) : NULL;
+    mv_core *core = mv_daemon_enter(d, &now);
+    mv_core_list_page(core, now, a->id, list, more);
+    mv_daemon_leave(d);
+    if (list)
+        g_array_unref(list);
+}
+
+static GBytes *cloud_request(const mv_action *a, const char **method, char *path, size_t size)
+{
+    *method = "POST";
+    switch (a->kind) {
+    case MV_ACT_RENT:
+        g_strlcpy(path, N_RENTALS, size);
+        return mv_rent_pack(a->name, a->hull, a->yard, a->spot, a->number);
+    case MV_ACT_RELEASE:
+        g_strlcpy(path, N_RELEASE, size);
+        return mv_hosts_pack(a->hosts);
+    case MV_ACT_LIST:
+        *method = "GET";
+        if (a->name[0])
+            g_snprintf(path, size, N_RENTALS "?" N_AFTER "=%s&" N_PAGE "=%d", a->name,
+                       MV_LIST_PAGE);
+        else
+            g_snprintf(path, size, N_RENTALS "?" N_PAGE "=%d", MV_LIST_PAGE);
+        return NULL;
+    default:
+        *method = "GET";
+        g_strlcpy(path, N_TYPES, size);
+        return NULL;
+    }
+}
+
+static void *cloud_routine(void *arg)
+{
+    mv_daemon *d = arg;
+    mv_action *a;
+    while ((a = take(d, d->cloud))) {
+        char path[300];
+        const char *method;
+        double began = steady(), now;
+        g_autoptr(GBytes) body = cloud_request(a, &method, path, sizeof path);
+        mv_http_answer answer;
+        mv_http_call(method, d->cloud_at, path, body, MV_CLOUD_TIMEOUT_MS, &answer);
+        mv_metrics_latency(MV_LAT_CLOUD, steady() - began);
+        mv_metrics_status(MV_LAT_CLOUD, answer.status);
+        gsize n;
+        const void *p = g_bytes_get_data(answer.body, &n);
+        g_autoptr(mv_doc) doc = answer.status ? mv_doc_parse(p, n) : NULL;
+        if (answer.status != 200)
+            mv_log_limited(MV_LOG_INFO, "cloud_refused", "path=%s status=%d", path,
+                           answer.status);
+        mv_doc *good = answer.status == 200 ? doc : NULL;
+        if (a->kind == MV_ACT_RENT) {
+            rent(d, a, &answer, doc);
+        } else if (a->kind == MV_ACT_LIST) {
+            listed(d, a, good);
+        } else {
+            mv_core *core = mv_daemon_enter(d, &now);
+            if (a->kind == MV_ACT_RELEASE)
+                mv_core_release_done(core, now, a->id, answer.status == 200);
+            else
+                mv_core_types(core, now, good ? mv_types_parse(mv_doc_root(good)) : NULL);
+            mv_daemon_leave(d);
+        }
+        mv_http_answer_clear(&answer);
+        mv_action_free(a);
+        /* Well within the cloud's limit: its threads take turns of at least this. */
+        if (!rest(d, MV_CLOUD_THREADS / d->conf->cloud_rps))
+            break;
+    }
+    return NULL;
+}
+
+/* --- siblings --- */
+
+static mv_peer *peer_named(mv_daemon *d, const char *name)
+{
+    for (size_t i = 0; i < d->conf->n_siblings; i++)
+        if (strcmp(d->conf->siblings[i].name, name) == 0)
+            return d->peers[i];
+    return NULL;
+}
+
+static GBytes *pack_demand(const mv_demand *d)
+{
+    Mv__Demand pb = MV__DEMAND__INIT;
+    Mv__Ask ask = MV__ASK__INIT;
+    guint nw = d->wants->len, nm = d->notes->len;
+    g_autofree Mv__Want *wants = g_new0(Mv__Want, nw + 1);
+    g_autofree Mv__Want **want_list = g_new0(Mv__Want *, nw + 1);
+    g_autofree Mv__MachineNote *notes = g_new0(Mv__MachineNote, nm + 1);
+    g_autofree Mv__MachineNote **note_list = g_new0(Mv__MachineNote *, nm + 1);
+    for (guint i = 0; i < nw; i++) {
+        mv_want *w = &g_array_index(d->wants, mv_want, i);
+        mv__want__init(&wants[i]);
+        wants[i].cores = w->cores;
+        wants[i].cards = w->cards;
+        wants[i].ram_gb = w->ram_gb;
+        wants[i].run_s = w->run_s;
+        wants[i].types = w->types;
+        wants[i].zone = w->yard;
+        wants[i].spot = w->spot;
+        wants[i].urgent = w->urgent;
+        wants[i].count = w->count;
+        want_list[i] = &wants[i];
+    }
+    for (guint i = 0; i < nm; i++) {
+        mv_note *n = &g_array_index(d->notes, mv_note, i);
+        mv__machine_note__init(&notes[i]);
+        notes[i].id = n->id;
+        notes[i].idle_s = n->idle_s;
+        notes[i].silent_s = n->silent_s;
+        notes[i].used_cores = n->used_cores;
+        notes[i].used_ram_gb = n->used_ram;
+        notes[i].fence = n->fence;
+        notes[i].give_back = n->give_back;
+        notes[i].lost = n->lost;
+        notes[i].up = n->up;
+        note_list[i] = &notes[i];
+    }
+    pb.node = (char *)d->node;
+    pb.incarnation = d->incarnation;
+    pb.shard = d->shard;
+    pb.resign = d->resign;
+    pb.n_wants = nw;
+    pb.wants = want_list;
+    pb.n_machines = nm;
+    pb.machines = note_list;
+    ask.what_case = MV__ASK__WHAT_DEMAND;
+    ask.demand = &pb;
+    size_t size = mv__ask__get_packed_size(&ask);
+    uint8_t *out = g_malloc(size);
+    mv__ask__pack(&ask, out);
+    return g_bytes_new_take(out, size);
+}
+
+static mv_demand *unpack_demand(const Mv__Demand *pb)
+{
+    mv_demand *d = g_new0(mv_demand, 1);
+    g_strlcpy(d->node, pb->node, sizeof d->node);
+    d->incarnation = pb->incarnation;
+    d->shard = pb->shard;
+    d->resign = pb->resign;
+    d->wants = g_array_new(FALSE, TRUE, sizeof(mv_want));
+    d->notes = g_array_new(FALSE, TRUE, sizeof(mv_note));
+    for (size_t i = 0; i < pb->n_wants; i++) {
+        const Mv__Want *p = pb->wants[i];
+        mv_want w = {.cores = p->cores,
+                     .cards = p->cards,
+                     .ram_gb = p->ram_gb,
+                     .run_s = p->run_s,
+                     .types = p->types,
+                     .spot = p->spot,
+                     .urgent = p->urgent,
+                     .count = p->count};
+        g_strlcpy(w.yard, p->zone, sizeof w.yard);
+        g_array_append_val(d->wants, w);
+    }
+    for (size_t i = 0; i < pb->n_machines; i++) {
+        const Mv__MachineNote *p = pb->machines[i];
+        mv_note n = {.idle_s = p->idle_s,
+                     .silent_s = p->silent_s,
+                     .used_cores = p->used_cores,
+                     .used_ram = p->used_ram_gb,
+                     .fence = p->fence,
+                     .give_back = p->give_back,
+                     .lost = p->lost,
+                     .up = p->up};
+        g_strlcpy(n.id, p->id, sizeof n.id);
+        g_array_append_val(d->notes, n);
+    }
+    return d;
+}
+
+static GBytes *pack_answer(const Mv__Answer *answer)
+{
+    size_t size = mv__answer__get_packed_size(answer);
+    uint8_t *out = g_malloc(size + 1);
+    mv__answer__pack(answer, out);
+    return g_bytes_new_take(out, size);
+}
+
+/* A sibling's message, in a routine of its connection. */
+static GBytes *on_peer(void *ctx, const uint8_t *frame, size_t size)
+{
+    mv_daemon *d = ctx;
+    double now;
+    Mv__Ask *ask = mv__ask__unpack(NULL, size, frame);
+    if (!ask)
+        return NULL;
+    Mv__Answer answer = MV__ANSWER__INIT;
+    mv_reply reply = {0};
+    if (ask->what_case == MV__ASK__WHAT_DEMAND) {
+        mv_demand *demand = unpack_demand(ask->demand);
+        mv_core *core = mv_daemon_enter(d, &now);
+        mv_core_demand(core, now, demand);
+        mv_daemon_leave(d);
+    } else if (ask->what_case == MV__ASK__WHAT_HEALTH) {
+        mv_core *core = mv_daemon_enter(d, &now);
+        answer.healthy = mv_core_in_contact(core, now);
+        mv_daemon_leave(d);
+    } else if (ask->what_case == MV__ASK__WHAT_REQUEST) {
+        const Mv__Request *r = ask->request;
+        mv_route_local(d, r->method, r->path, r->body.data, r->body.len, &reply);
+        answer.status = (uint32_t)reply.status;
+        if (reply.body) {
+            gsize n;
+            answer.body.data = (uint8_t *)g_bytes_get_data(reply.body, &n);
+            answer.body.len = n;
+        }
+    }
+    GBytes *out = pack_answer(&answer);
+    if (reply.body)
+        g_bytes_unref(reply.body);
+    mv__ask__free_unpacked(ask, NULL);
+    return out;
+}
+
+static void *demand_routine(void *arg)
+{
+    mv_daemon *d = arg;
+    mv_action *a;
+    while ((a = take(d, d->demands))) {
+        mv_peer *p = peer_named(d, a->to);
+        g_autoptr(GBytes) frame = pack_demand(a->demand);
+        gsize n;
+        const uint8_t *bytes = g_bytes_get_data(frame, &n);
+        GBytes *answer = p ? mv_peer_ask(p, bytes, n, MV_PEER_TIMEOUT_MS) : NULL;
+        if (answer)
+            g_bytes_unref(answer);
+        mv_action_free(a);
+    }
+    return NULL;
+}
+
+bool mv_daemon_pass_on(mv_daemon *d, const char *method, const char *path, const uint8_t *body,
+                       size_t size, mv_reply *reply)
+{
+    Mv__Request request = MV__REQUEST__INIT;
+    Mv__Ask ask = MV__ASK__INIT;
+    request.method = (char *)method;
+    request.path = (char *)path;
+    request.body.data = (uint8_t *)body;
+    request.body.len = size;
+    ask.what_case = MV__ASK__WHAT_REQUEST;
+    ask.request = &request;
+    size_t n = mv__ask__get_packed_size(&ask);
+    g_autofree uint8_t *frame = g_malloc(n);
+    mv__ask__pack(&ask, frame);
+    for (size_t i = 0; i < d->conf->n_siblings; i++) {
+        g_autoptr(GBytes) got = mv_peer_ask(d->peers[i], frame, n, MV_PASS_ON_MS);
+        if (!got)
+            continue;
+        gsize len;
+        const uint8_t *p = g_bytes_get_data(got, &len);
+        Mv__Answer *answer = mv__answer__unpack(NULL, len, p);
+        bool ok = answer && answer->status && answer->status != 503;
+        if (ok) {
+            reply->status = (int)answer->status;
+            reply->body = g_bytes_new(answer->body.data, answer->body.len);
+        }
+        if (answer)
+            mv__answer__free_unpacked(answer, NULL);
+        if (ok)
+            return true;
+    }
+    return false;
+}
+
+bool mv_daemon_sibling_answers(mv_daemon *d)
+{
+    Mv__Ask ask = MV__ASK__INIT;
+    ask.what_case = MV__ASK__WHAT_HEALTH;
+    ask.health = true;
+    size_t n = mv__ask__get_packed_size(&ask);
+    g_autofree uint8_t *frame = g_malloc(n);
+    mv__ask__pack(&ask, frame);
+    for (size_t i = 0; i < d->conf->n_siblings; i++) {
+        g_autoptr(GBytes) got = mv_peer_ask(d->peers[i], frame, n, MV_PEER_TIMEOUT_MS / 2);
+        if (got)
+            return true;
+    }
+    return d->conf->n_siblings == 0;
+}
+
+/* --- life --- */
+
+static bool start_thread(mv_daemon *d, routine run)
+{
+    pthread_attr_t attr;
+    pthread_t *t = g_new(pthread_t, 1);
+    pthread_attr_init(&attr);
+    pthread_attr_setstacksize(&attr, MV_STACK_BYTES);
+    int err = pthread_create(t, &attr, run, d);
+    pthread_attr_destroy(&attr);
+    if (err) {
+        g_free(t);
+        return false;
+    }
+    g_ptr_array_add(d->threads, t);
+    return true;
+}
+
+static void on_http(void *ctx, const char *method, const char *path, const uint8_t *body,
+                    size_t size, mv_http_reply *out)
+{
+    mv_reply reply = {0};
+    mv_route(ctx, method, path, body, size, &reply);
+    out->status = reply.status;
+    out->body = reply.body;
+    out->retry_after = reply.retry_after;
+    out->text = reply.text;
+}
+
+static void action_free(gpointer p)
+{
+    mv_action_free(p);
+}
+
+static bool start_threads(mv_daemon *d)
+{
+    bool ok = start_thread(d, session_routine) && start_thread(d, follow_routine) &&
+              start_thread(d, tick_routine) && start_thread(d, demand_routine);
+    for (int i = 0; i < MV_TXN_THREADS; i++)
+        ok = ok && start_thread(d, txn_routine);
+    for (int i = 0; i < MV_COMMAND_THREADS; i++)
+        ok = ok && start_thread(d, command_routine);
+    for (int i = 0; i < MV_CLOUD_THREADS; i++)
+        ok = ok && start_thread(d, cloud_routine);
+    return ok;
+}
+
+mv_daemon *mv_daemon_start(const mv_settings *conf, char *error, size_t error_size)
+{
+    mv_daemon *d = g_new0(mv_daemon, 1);
+    pthread_condattr_t steady_clock;
+    d->conf = conf;
+    d->core = mv_core_new(conf);
+    d->state = mv_state_new(conf);
+    pthread_mutex_init(&d->lock, NULL);
+    pthread_condattr_init(&steady_clock);
+    pthread_condattr_setclock(&steady_clock, CLOCK_MONOTONIC);
+    pthread_cond_init(&d->stop_cond, &steady_clock);
+    pthread_condattr_destroy(&steady_clock);
+    d->threads = g_ptr_array_new_with_free_func(g_free);
+    GAsyncQueue **queues[] = {&d->txns, &d->commands, &d->cloud, &d->demands};
+    for (size_t i = 0; i < G_N_ELEMENTS(queues); i++)
+        *queues[i] = g_async_queue_new_full(action_free);
+    d->known = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    g_snprintf(d->cloud_at, sizeof d->cloud_at, "%s:%u", conf->cloud.host, conf->cloud.port);
+    d->peers = g_new0(mv_peer *, conf->n_siblings + 1);
+    for (size_t i = 0; i < conf->n_siblings; i++)
+        d->peers[i] = mv_peer_new(&conf->siblings[i].back);
+    mv_http_client_init();
+    d->back = mv_peer_listen(&conf->back, on_peer, d);
+    d->http = d->back ? mv_http_listen(&conf->listen, conf->max_connections, on_http, d) : NULL;
+    if (d->http && start_threads(d))
+        return d;
+    const mv_endpoint *bad = d->back ? &conf->listen : &conf->back;
+    g_snprintf(error, error_size, "%s: cannot serve at %s:%u", d->back ? "listen" : "back",
+               bad->host, bad->port);
+    mv_daemon_stop(d);
+    return NULL;
+}
+
+void mv_daemon_stop(mv_daemon *d)
+{
+    pthread_mutex_lock(&d->lock);
+    d->stopping = true;
+    pthread_cond_broadcast(&d->stop_cond);
+    pthread_mutex_unlock(&d->lock);
+    if (d->http)
+        mv_http_close(d->http);
+    mv_peer_close(d->back);
+    GAsyncQueue *queues[] = {d->txns, d->commands, d->cloud, d->demands};
+    for (size_t q = 0; q < G_N_ELEMENTS(queues); q++)
+        for (int i = 0; i < MV_COMMAND_THREADS; i++) /* a stop mark for each routine */
+            g_async_queue_push(queues[q], g_new0(mv_action, 1));
+    for (guint i = 0; i < d->threads->len; i++)
+        pthread_join(*(pthread_t *)g_ptr_array_index(d->threads, i), NULL);
+    for (size_t q = 0; q < G_N_ELEMENTS(queues); q++)
+        g_async_queue_unref(queues[q]);
+    for (size_t i = 0; i < d->conf->n_siblings; i++)
+        mv_peer_free(d->peers[i]);
+    g_free(d->peers);
+    g_ptr_array_unref(d->threads);
+    g_hash_table_unref(d->known);
+    mv_core_free(d->core);
+    mv_state_free(d->state);
+    pthread_mutex_destroy(&d->lock);
+    pthread_cond_destroy(&d->stop_cond);
+    g_free(d);
+}
--- /dev/null
+++ b/src/service/daemon.h
@@ -0,0 +1,41 @@
+/* One controller: the core, the threads round it, and what they share. */
+#ifndef MV_DAEMON_H
+#define MV_DAEMON_H
+#include "bookkeeping/settings.h"
+#include "coordination/core.h"
+#include "storage/state.h"
+
+typedef struct mv_daemon mv_daemon;
+
+/* NULL when an address cannot be bound, with the reason in `error`. */
+mv_daemon *mv_daemon_start(const mv_settings *settings, char *error, size_t error_size);
+/* Ends every thread in order. */
+void mv_daemon_stop(mv_daemon *d);
+
+/* --- for the routes --- */
+const mv_settings *mv_daemon_settings(const mv_daemon *d);
+mv_state *mv_daemon_state(mv_daemon *d);
+/* The core under its lock; mv_daemon_leave hands out what it decided. */
+mv_core *mv_daemon_enter(mv_daemon *d, double *now);
+void mv_daemon_leave(mv_daemon *d);
+
+typedef struct {
+    int status;
+    GBytes *body; /* owned by the caller */
+    int retry_after;
+    bool text;
+} mv_reply;
+
+/* Answers a user's or worker's request; never blocks on anything but the state service and
+ * siblings. */
+void mv_route(mv_daemon *d, const char *method, const char *path, const uint8_t *body, size_t size,
+              mv_reply *reply);
+/* The same without asking siblings for help. */
+void mv_route_local(mv_daemon *d, const char *method, const char *path, const uint8_t *body,
+                    size_t size, mv_reply *reply);
+/* Passes a request to the siblings in turn until one can serve it. */
+bool mv_daemon_pass_on(mv_daemon *d, const char *method, const char *path, const uint8_t *body,
+                       size_t size, mv_reply *reply);
+/* Whether any sibling answers at all; always true without siblings. */
+bool mv_daemon_sibling_answers(mv_daemon *d);
+#endif
--- /dev/null
+++ b/src/service/routes.c
@@ -0,0 +1,462 @@
+/* What is answered on each path. */
+#include "bookkeeping/log.h"
+#include "bookkeeping/metrics.h"
+#include "protocol/names.h"
+#include "service/daemon.h"
+
+#include <pthread.h>
+#include <string.h>
+
+/* --- small answers --- */
+
+static void say_error(mv_reply *r, int status, const char *error, const char *detail)
+{
+    mv_out *o = mv_out_new();
+    mv_put_map(o, detail ? 2 : 1);
+    mv_field_text(o, N_ERROR, error);
+    if (detail)
+        mv_field_text(o, N_DETAIL, detail);
+    r->status = status;
+    r->body = mv_out_take(o);
+    r->retry_after = status == 503 ? MV_RETRY_AFTER_S : status == 429 ? MV_SHED_RETRY_S : 0;
+}
+
+static void say_job(mv_reply *r, int status, const char *id, const char *state, unsigned done,
+                    unsigned running, bool counts)
+{
+    mv_out *o = mv_out_new();
+    mv_put_map(o, counts ? 4 : 2);
+    mv_field_text(o, N_ID, id);
+    mv_field_text(o, N_STATUS, state);
+    if (counts) {
+        mv_field_u64(o, N_DONE, done);
+        mv_field_u64(o, N_RUNNING, running);
+    }
+    r->status = status;
+    r->body = mv_out_take(o);
+}
+
+/* --- ends of jobs, which never change and so may be remembered --- */
+
+typedef struct {
+    bool done;
+    unsigned pieces;
+} final;
+
+static pthread_mutex_t finals_lock = PTHREAD_MUTEX_INITIALIZER;
+static GHashTable *finals;
+
+static bool final_recall(const char *id, final *out)
+{
+    pthread_mutex_lock(&finals_lock);
+    const final *f = finals ? g_hash_table_lookup(finals, id) : NULL;
+    if (f)
+        *out = *f;
+    pthread_mutex_unlock(&finals_lock);
+    return f != NULL;
+}
+
+static void final_remember(const char *id, const final *f)
+{
+    pthread_mutex_lock(&finals_lock);
+    if (!finals)
+        finals = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    if (g_hash_table_size(finals) >= MV_FINAL_CACHE)
+        g_hash_table_remove_all(finals); /* the state service has them all */
+    g_hash_table_replace(finals, g_strdup(id), g_memdup2(f, sizeof *f));
+    pthread_mutex_unlock(&finals_lock);
+}
+
+/* --- fresh knowledge of a job --- */
+
+typedef enum { KNOWN_ACTIVE, KNOWN_FINAL, KNOWN_NOT, KNOWN_UNSURE } knowledge;
+
+/* Never older than any answer given by any node: an end is for good, everything else is read
+ * from the state service now. The live record first: a job only ever moves from there to its
+ * final record. */
+static knowledge look_up(mv_daemon *d, const char *id, final *end, uint64_t *stamp,
+                         unsigned *pieces)
+{
+    char key[MV_KEY_SIZE];
+    if (final_recall(id, end))
+        return KNOWN_FINAL;
+    g_snprintf(key, sizeof key, K_JOB "%s", id);
+    GBytes *data = NULL;
+    mv_state_result r = mv_state_get(mv_daemon_state(d), key, &data, stamp);
+    if (r == MV_STATE_OK) {
+        gsize n;
+        const void *p = g_bytes_get_data(data, &n);
+        g_autoptr(mv_doc) doc = mv_doc_parse(p, n);
+        uint64_t count = 0;
+        bool ok = doc && mv_get_u64(mv_doc_root(doc), N_PIECES, &count) == MV_GOT;
+        g_bytes_unref(data);
+        *pieces = (unsigned)count;
+        return ok ? KNOWN_ACTIVE : KNOWN_UNSURE;
+    }
+    if (r != MV_STATE_MISSING)
+        return KNOWN_UNSURE;
+    g_snprintf(key, sizeof key, K_FINAL "%s", id);
+    r = mv_state_get(mv_daemon_state(d), key, &data, stamp);
+    if (r == MV_STATE_MISSING)
+        return KNOWN_NOT;
+    if (r != MV_STATE_OK)
+        return KNOWN_UNSURE;
+    gsize n;
+    const void *p = g_bytes_get_data(data, &n);
+    g_autoptr(mv_doc) doc = mv_doc_parse(p, n);
+    bool ok = doc && mv_final_parse(mv_doc_root(doc), &end->done, &end->pieces);
+    g_bytes_unref(data);
+    if (ok)
+        final_remember(id, end);
+    return ok ? KNOWN_FINAL : KNOWN_UNSURE;
+}
+
+static void say_known(mv_daemon *d, mv_reply *r, const char *id, knowledge k, const final *end)
+{
+    if (k == KNOWN_FINAL) {
+        say_job(r, 200, id, end->done ? N_DONE : N_WITHDRAWN, end->done ? end->pieces : 0, 0, true);
+    } else if (k == KNOWN_ACTIVE) {
+        mv_job_view v;
+        double now;
+        mv_core_job(mv_daemon_enter(d, &now), id, &v);
+        mv_daemon_leave(d);
+        say_job(r, 200, id, v.running || v.done ? N_RUNNING : N_PENDING, v.done, v.running, true);
+    } else if (k == KNOWN_NOT) {
+        say_error(r, 404, "no such job", NULL);
+    } else {
+        say_error(r, 503, "state service out of reach", NULL);
+    }
+}
+
+/* --- users --- */
+
+static void accept_job(mv_daemon *d, const mv_job *job, mv_reply *r)
+{
+    char live[MV_KEY_SIZE], gone[MV_KEY_SIZE];
+    g_snprintf(live, sizeof live, K_JOB "%s", job->id);
+    g_snprintf(gone, sizeof gone, K_FINAL "%s", job->id);
+    g_autoptr(GArray) conds = g_array_new(FALSE, TRUE, sizeof(mv_cond));
+    g_autoptr(GArray) changes = g_array_new(FALSE, TRUE, sizeof(mv_change));
+    mv_cond cond = {0};
+    g_strlcpy(cond.key, live, sizeof cond.key);
+    g_array_append_val(conds, cond);
+    g_strlcpy(cond.key, gone, sizeof cond.key);
+    g_array_append_val(conds, cond);
+    mv_change change = {.data = mv_accepted_pack(job, (double)g_get_real_time() / 1e6)};
+    g_strlcpy(change.key, live, sizeof change.key);
+    g_array_append_val(changes, change);
+    mv_state_result result = mv_state_txn(mv_daemon_state(d), conds, changes, true);
+    g_bytes_unref(change.data);
+    if (result == MV_STATE_OK) {
+        say_job(r, 201, job->id, N_PENDING, 0, 0, false);
+        return;
+    }
+    if (result != MV_STATE_CONFLICT) {
+        say_error(r, 503, "state service out of reach", NULL);
+        return;
+    }
+    final end = {0};
+    uint64_t stamp;
+    unsigned pieces;
+    knowledge k = look_up(d, job->id, &end, &stamp, &pieces);
+    say_known(d, r, job->id, k == KNOWN_NOT ? KNOWN_UNSURE : k, &end);
+}
+
+static void submit(mv_daemon *d, const uint8_t *body, size_t size, mv_reply *r)
+{
+    g_autoptr(mv_doc) doc = body ? mv_doc_parse(body, size) : NULL;
+    if (!doc) {
+        say_error(r, 400, "malformed", "a MessagePack map of at most 64 KiB is needed");
+        return;
+    }
+    mv_job job;
+    const char *bad = mv_job_parse(mv_doc_root(doc), &job);
+    if (bad) {
+        say_error(r, 400, "malformed", bad);
+        mv_job_clear(&job);
+        return;
+    }
+    double now;
+    mv_fit fit = mv_core_fits(mv_daemon_enter(d, &now), &job);
+    mv_daemon_leave(d);
+    if (fit == MV_FITS) {
+        accept_job(d, &job, r);
+    } else {
+        /* An accepted job stays accepted, whatever the limits and types are by now. */
+        final end = {0};
+        uint64_t stamp;
+        unsigned pieces;
+        knowledge k = look_up(d, job.id, &end, &stamp, &pieces);
+        if (k == KNOWN_NOT && fit == MV_NEVER_FITS)
+            say_error(r, 422, "can never run", "no allowed machine or limit fits a task");
+        else if (k == KNOWN_NOT)
+            say_error(r, 503, "machine types not known yet", NULL);
+        else
+            say_known(d, r, job.id, k, &end);
+    }
+    mv_job_clear(&job);
+}
+
+static void poll_job(mv_daemon *d, const char *id, mv_reply *r)
+{
+    final end = {0};
+    uint64_t stamp;
+    unsigned pieces;
+    if (!mv_job_id_valid(id)) {
+        say_error(r, 404, "no such job", NULL);
+        return;
+    }
+    say_known(d, r, id, look_up(d, id, &end, &stamp, &pieces), &end);
+}
+
+static mv_state_result withdraw(mv_daemon *d, const char *id, uint64_t stamp, unsigned pieces)
+{
+    char key[MV_KEY_SIZE];
+    g_autoptr(GArray) conds = g_array_new(FALSE, TRUE, sizeof(mv_cond));
+    g_autoptr(GArray) changes = g_array_new(FALSE, TRUE, sizeof(mv_change));
+    mv_cond cond = {.stamp = stamp};
+    g_snprintf(cond.key, sizeof cond.key, K_JOB "%s", id);
+    g_array_append_val(conds, cond);
+    mv_change change = {0};
+    g_strlcpy(change.key, cond.key, sizeof change.key);
+    g_array_append_val(changes, change);
+    g_snprintf(cond.key, sizeof cond.key, K_FINAL "%s", id);
+    cond.stamp = 0;
+    g_array_append_val(conds, cond);
+    unsigned chunks = (pieces + MV_CHUNK_TASKS - 1) / MV_CHUNK_TASKS;
+    for (unsigned i = 0; i < chunks; i++) {
+        g_snprintf(key, sizeof key, K_PROGRESS "%s/%u", id, i);
+        g_strlcpy(change.key, key, sizeof change.key);
+        g_array_append_val(changes, change);
+    }
+    g_snprintf(change.key, sizeof change.key, K_FINAL "%s", id);
+    change.data = mv_final_pack(false, pieces, (double)g_get_real_time() / 1e6);
+    g_array_append_val(changes, change);
+    mv_state_result result = mv_state_txn(mv_daemon_state(d), conds, changes, true);
+    g_bytes_unref(change.data);
+    return result;
+}
+
+static void abort_job(mv_daemon *d, const char *id, mv_reply *r)
+{
+    if (!mv_job_id_valid(id)) {
+        say_error(r, 404, "no such job", NULL);
+        return;
+    }
+    for (int try = 0; try < MV_ABORT_TRIES; try++) {
+        final end = {0};
+        uint64_t stamp = 0;
+        unsigned pieces = 0;
+        knowledge k = look_up(d, id, &end, &stamp, &pieces);
+        if (k == KNOWN_FINAL) {
+            say_job(r, 200, id, end.done ? N_DONE : N_WITHDRAWN, 0, 0, false);
+            return;
+        }
+        if (k != KNOWN_ACTIVE) {
+            say_known(d, r, id, k, &end);
+            return;
+        }
+        mv_state_result result = withdraw(d, id, stamp, pieces);
+        if (result == MV_STATE_OK) {
+            say_job(r, 200, id, N_WITHDRAWN, 0, 0, false);
+            return;
+        }
+        if (result != MV_STATE_CONFLICT)
+            break;
+    }
+    say_error(r, 503, "not decided", NULL);
+}
+
+/* --- workers --- */
+
+static void report(mv_daemon *d, const uint8_t *body, size_t size, mv_reply *r)
+{
+    g_autoptr(mv_doc) doc = body ? mv_doc_parse(body, size) : NULL;
+    mv_report rep;
+    memset(&rep, 0, sizeof rep);
+    if (!doc || !mv_report_parse(mv_doc_root(doc), &rep)) {
+        mv_report_clear(&rep);
+        say_error(r, 400, "malformed", NULL);
+        return;
+    }
+    double now;
+    mv_report_answer a;
+    mv_core *core = mv_daemon_enter(d, &now);
+    mv_core_report(core, now, &rep, &a);
+    mv_daemon_leave(d);
+    mv_debug("report", "machine=%s tick=%" G_GUINT64_FORMAT " pieces=%zu status=%d orders=%u",
+             rep.host, rep.tick, rep.n_pieces, a.status, a.orders ? a.orders->len : 0);
+    r->status = a.status;
+    if (a.status == 200) {
+        r->body = mv_orders_pack(a.baton, 0, a.orders);
+    } else if (a.status == 421) {
+        mv_out *o = mv_out_new();
+        mv_put_map(o, a.steward[0] ? 1 : 0);
+        if (a.steward[0])
+            mv_field_text(o, N_STEWARD, a.steward);
+        r->body = mv_out_take(o);
+    } else {
+        say_error(r, a.status, "not now", NULL);
+    }
+    if (a.orders)
+        g_array_unref(a.orders);
+    mv_report_clear(&rep);
+}
+
+/* --- operators --- */
+
+static void health(mv_daemon *d, mv_reply *r)
+{
+    double now;
+    mv_core *core = mv_daemon_enter(d, &now);
+    bool ready = mv_core_ready(core), contact = mv_core_in_contact(core, now);
+    mv_daemon_leave(d);
+    /* Without the state service we can still serve through a sibling, and when all are without
+     * it nobody gains from our leaving: only a node that is alone with its trouble goes. */
+    r->status = ready && (contact || mv_daemon_sibling_answers(d)) ? 200 : 503;
+    r->text = true;
+    const char *word = r->status == 200 ? "ok\n" : "not ready\n";
+    r->body = g_bytes_new_static(word, strlen(word));
+}
+
+static void metrics(mv_daemon *d, mv_reply *r)
+{
+    double now;
+    mv_core_counts n;
+    mv_core *core = mv_daemon_enter(d, &now);
+    mv_core_counts_get(core, &n);
+    bool leader = mv_core_leads(core);
+    mv_daemon_leave(d);
+    GString *out = mv_metrics_print();
+    struct {
+        const char *name;
+        guint64 v;
+    } rows[] = {{"rounds_total", n.rounds},
+                {"placed_total", n.placed},
+                {"finished_jobs_total", n.finished},
+                {"requeued_total", n.requeued},
+                {"preempted_total", n.preempted},
+                {"failed_tasks_total", n.faults},
+                {"rented_total", n.rented},
+                {"released_total", n.released},
+                {"takeovers_total", n.takeovers},
+                {"jobs", n.jobs},
+                {"waiting_tasks", n.waiting},
+                {"running_tasks", n.running},
+                {"machines", n.machines},
+                {"machines_up", n.machines_up},
+                {"leader", leader}};
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+        g_string_append_printf(out, "mulleinvalve_%s %" G_GUINT64_FORMAT "\n", rows[i].name,
+                               rows[i].v);
+    r->status = 200;
+    r->text = true;
+    r->body = g_string_free_to_bytes(out);
+}
+
+static void overview(mv_daemon *d, mv_reply *r)
+{
+    double now;
+    mv_core *core = mv_daemon_enter(d, &now);
+    r->body = mv_core_overview(core, now);
+    mv_daemon_leave(d);
+    r->status = 200;
+}
+
+/* --- dispatch --- */
+
+typedef enum { P_NONE, P_SUBMIT, P_POLL, P_ABORT, P_REPORT, P_HEALTH, P_METRICS, P_OVERVIEW } place;
+
+static place find_place(const char *method, const char *path, char *id, size_t id_size)
+{
+    bool get = strcmp(method, "GET") == 0, post = strcmp(method, "POST") == 0;
+    if (strcmp(path, N_REPORT) == 0)
+        return post ? P_REPORT : P_NONE;
+    if (strcmp(path, N_RUNS) == 0)
+        return post ? P_SUBMIT : P_NONE;
+    if (get && strcmp(path, N_HEALTHZ) == 0)
+        return P_HEALTH;
+    if (get && strcmp(path, N_METRICS) == 0)
+        return P_METRICS;
+    if (get && strcmp(path, N_OVERVIEW) == 0)
+        return P_OVERVIEW;
+    if (!g_str_has_prefix(path, N_RUNS "/"))
+        return P_NONE;
+    const char *rest = path + strlen(N_RUNS "/");
+    const char *slash = strchr(rest, '/');
+    size_t len = slash ? (size_t)(slash - rest) : strlen(rest);
+    if (len >= id_size) /* longer than any id: known to be unknown */
+        len = 0;
+    memcpy(id, rest, len);
+    id[len] = 0;
+    if (!slash)
+        return get ? P_POLL : P_NONE;
+    return post && strcmp(slash + 1, N_ABORT) == 0 ? P_ABORT : P_NONE;
+}
+
+void mv_route_local(mv_daemon *d, const char *method, const char *path, const uint8_t *body,
+                    size_t size, mv_reply *r)
+{
+    char id[MV_ID_SIZE] = "";
+    place p = find_place(method, path, id, sizeof id);
+    if (p == P_SUBMIT)
+        submit(d, body, size, r);
+    else if (p == P_POLL)
+        poll_job(d, id, r);
+    else if (p == P_ABORT)
+        abort_job(d, id, r);
+    else
+        say_error(r, 404, "no such path", NULL);
+}
+
+static gint submits;
+
+static void users(mv_daemon *d, place p, const char *method, const char *path, const uint8_t *body,
+                  size_t size, mv_reply *r)
+{
+    gint64 began = g_get_monotonic_time();
+    bool counted = p == P_SUBMIT;
+    if (counted && g_atomic_int_add(&submits, 1) >= MV_SUBMITS_AT_ONCE)
+        say_error(r, 429, "too many submissions at once", NULL);
+    else
+        mv_route_local(d, method, path, body, size, r);
+    if (counted)
+        g_atomic_int_add(&submits, -1);
+    mv_reply other = {0};
+    if (r->status == 503 && mv_daemon_pass_on(d, method, path, body, size, &other)) {
+        g_clear_pointer(&r->body, g_bytes_unref);
+        *r = other;
+    }
+    mv_latency which = p == P_SUBMIT ? MV_LAT_SUBMIT : p == P_POLL ? MV_LAT_POLL : MV_LAT_ABORT;
+    mv_metrics_latency(which, (double)(g_get_monotonic_time() - began) / 1e6);
+    mv_metrics_status(which, r->status);
+}
+
+void mv_route(mv_daemon *d, const char *method, const char *path, const uint8_t *body, size_t size,
+              mv_reply *r)
+{
+    char id[MV_ID_SIZE] = "";
+    place p = find_place(method, path, id, sizeof id);
+    switch (p) {
+    case P_REPORT:
+        report(d, body, size, r);
+        mv_metrics_status(MV_LAT_REPORT, r->status);
+        break;
+    case P_HEALTH:
+        health(d, r);
+        break;
+    case P_METRICS:
+        metrics(d, r);
+        break;
+    case P_OVERVIEW:
+        overview(d, r);
+        break;
+    case P_NONE:
+        say_error(r, 404, "no such path", NULL);
+        break;
+    default:
+        users(d, p, method, path, body, size, r);
+    }
+    if (p >= P_SUBMIT && p <= P_ABORT)
+        mv_debug("user", "method=%s path=%s status=%d", method, path, r->status);
+}
--- /dev/null
+++ b/src/service/status.c
@@ -0,0 +1,106 @@
+#include "service/status.h"
+
+#include "bookkeeping/settings.h"
+#include "protocol/codec.h"
+#include "protocol/names.h"
+#include "transport/http_client.h"
+
+#include <stdio.h>
+#include <string.h>
+
+static const char *text_of(const msgpack_object *o, const char *name, char *buf, size_t size)
+{
+    return mv_get_text(o, name, buf, size) == MV_GOT && *buf ? buf : "-";
+}
+
+static double num_of(const msgpack_object *o, const char *name)
+{
+    double v = 0;
+    mv_get_num(o, name, &v);
+    return v;
+}
+
+static void print_teams(const msgpack_object *root)
+{
+    char a[MV_NAME_SIZE], b[MV_NAME_SIZE];
+    const msgpack_object_array *list = mv_get_list(root, "teams");
+    printf("\n%-24s %10s %10s %10s  %s\n", "TEAM", "CORES", "GUARANTEED", "LIMIT", "OWNER");
+    for (uint32_t i = 0; list && i < list->size; i++) {
+        const msgpack_object *t = &list->ptr[i];
+        char limit[32] = "none";
+        if (num_of(t, "limit") > 0)
+            snprintf(limit, sizeof limit, "%.0f", num_of(t, "limit"));
+        printf("%-24s %10.1f %10.0f %10s  %s\n", text_of(t, N_NAME, a, sizeof a),
+               num_of(t, N_CORES), num_of(t, "guaranteed"), limit,
+               text_of(t, "owner", b, sizeof b));
+    }
+}
+
+static void print_machines(const msgpack_object *root)
+{
+    char id[MV_NAME_SIZE], type[MV_NAME_SIZE], status[MV_NAME_SIZE];
+    const msgpack_object_array *list = mv_get_list(root, "machines");
+    printf("\n%-16s %-14s %-9s %-12s %8s %6s\n", "MACHINE", "TYPE", "KIND", "STATUS", "AGE_S",
+           "TASKS");
+    for (uint32_t i = 0; list && i < list->size; i++) {
+        const msgpack_object *m = &list->ptr[i];
+        bool spot = false;
+        mv_get_bool(m, N_LOANERS, &spot);
+        printf("%-16s %-14s %-9s %-12s %8.0f %6.0f\n", text_of(m, N_ID, id, sizeof id),
+               text_of(m, N_HULL, type, sizeof type), spot ? "spot" : "ordinary",
+               text_of(m, N_STATUS, status, sizeof status), num_of(m, N_AGE),
+               num_of(m, N_PIECES));
+    }
+}
+
+static void print_jobs(const msgpack_object *root)
+{
+    char id[MV_NAME_SIZE], lane[MV_NAME_SIZE], crew[MV_NAME_SIZE], why[MV_NAME_SIZE];
+    const msgpack_object_array *list = mv_get_list(root, "jobs");
+    printf("\n%-14s %-18s %-20s %9s %8s %-5s %s\n", "JOB", "CLASS", "TEAM", "DONE", "AGE_S", "LATE",
+           "WAITS FOR");
+    for (uint32_t i = 0; list && i < list->size; i++) {
+        const msgpack_object *j = &list->ptr[i];
+        bool late = false;
+        mv_get_bool(j, "late", &late);
+        char done[32];
+        snprintf(done, sizeof done, "%.0f/%.0f", num_of(j, N_DONE), num_of(j, N_PIECES));
+        printf("%-14s %-18s %-20s %9s %8.0f %-5s %s\n", text_of(j, N_ID, id, sizeof id),
+               text_of(j, N_LANE, lane, sizeof lane), text_of(j, N_CREW, crew, sizeof crew), done,
+               num_of(j, N_AGE), late ? "LATE" : "", text_of(j, "why", why, sizeof why));
+    }
+}
+
+int mv_status_print(const char *address)
+{
+    mv_endpoint at;
+    if (!mv_endpoint_parse(address, &at)) {
+        fprintf(stderr, "status: %s: must be a numeric address and a port\n", address);
+        return 2;
+    }
+    mv_http_answer answer;
+    mv_http_client_init();
+    mv_http_call("GET", address, N_OVERVIEW, NULL, MV_CLOUD_TIMEOUT_MS, &answer);
+    gsize n;
+    const void *p = g_bytes_get_data(answer.body, &n);
+    g_autoptr(mv_doc) doc = answer.status == 200 ? mv_doc_parse(p, n) : NULL;
+    int code = 1;
+    if (doc) {
+        char leader[MV_NAME_SIZE], name[MV_NAME_SIZE];
+        const msgpack_object *root = mv_doc_root(doc);
+        const msgpack_object_array *nodes = mv_get_list(root, "controllers");
+        printf("leader       %s\ncontrollers ", text_of(root, "leader", leader, sizeof leader));
+        for (uint32_t i = 0; nodes && i < nodes->size; i++)
+            if (mv_text_copy(&nodes->ptr[i], name, sizeof name))
+                printf(" %s", name);
+        printf("\n");
+        print_teams(root);
+        print_machines(root);
+        print_jobs(root);
+        code = 0;
+    } else {
+        fprintf(stderr, "status: no picture from %s (status %d)\n", address, answer.status);
+    }
+    mv_http_answer_clear(&answer);
+    return code;
+}
