--- a/src/constants.h
+++ b/src/constants.h
@@ -26,7 +26,7 @@
 #define MV_SESSION_MARGIN_S 0.4   /* taken off our own view of the session: drift, rounding */
 #define MV_BLOCK_LEASE_S 30.0     /* DESIGN: block lease; shortened when cancel_s asks for it */
 #define MV_CANCEL_MARGIN_S 5.0    /* kept free below cancel_s - lease_s for stops to arrive */
-#define MV_SHARDS 0               /* blocks of the fleet; 0: one for each controller */
+#define MV_SHARDS 1               /* blocks of the fleet; 0: one for each controller */
 
 #define MV_REBALANCE_S 10.0       /* pause between moves of shards to controllers that came back */
 #define MV_USED_SLACK 8           /* names of gone machines a record of used ones may carry */
