--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -4,6 +4,26 @@
 #include "coordination/core.h"
 #include "protocol/names.h"
 
+/* The main guards have names, so that the tests can show that each is needed: in their build of
+ * the core one may be switched off. In the service itself a guard is just its condition. */
+typedef enum {
+    MV_GUARD_NONE,
+    MV_GUARD_REBUILD,   /* no relaunch while a silent machine may hold the task */
+    MV_GUARD_UNKNOWN,   /* silent machines count against a team's limit */
+    MV_GUARD_LIMIT,     /* a team's limit */
+    MV_GUARD_RELEASED,  /* a silent machine's tasks wait until it is gone for certain */
+    MV_GUARD_KIND,      /* spot machines only for jobs that allow them */
+    MV_GUARD_CANCELLED, /* tasks of cancelled jobs are stopped */
+    MV_GUARD_ALL_DONE   /* a job ends only with its last task */
+} mv_guard;
+
+#ifdef MV_BREAKABLE
+extern mv_guard mv_broken_guard;
+#define GUARD(which, condition) (mv_broken_guard == MV_GUARD_##which || (condition))
+#else
+#define GUARD(which, condition) (condition)
+#endif
+
 typedef enum {
     T_WAIT,    /* may be placed */
     T_PLACED,  /* on a machine, or perhaps on its way there */
--- a/src/coordination/jobs.c
+++ b/src/coordination/jobs.c
@@ -210,7 +210,7 @@
 bool allowed_on(const mv_core *c, const job *j, const machine *m)
 {
     const mv_type *t = type_of(c, m);
-    return t && type_allowed(&j->spec, t) && (!m->loaners || j->spec.loaners) &&
+    return t && type_allowed(&j->spec, t) && GUARD(KIND, !m->loaners || j->spec.loaners) &&
            (!j->spec.has_yard || strcmp(j->spec.yard, m->yard) == 0);
 }
 
@@ -328,7 +328,7 @@
         job *j = v;
         if (!job_mine(c, j))
             continue;
-        if (j->n_done == j->spec.pieces && !j->ending && c->now >= j->flushed_at + MV_END_PAUSE_S)
+        if (GUARD(ALL_DONE, j->n_done == j->spec.pieces) && !j->ending && c->now >= j->flushed_at + MV_END_PAUSE_S)
             end_job(c, j);
         else if (j->ending && c->now > j->flushed_at + 3.0 * MV_STATE_TIMEOUT_MS / 1000)
             j->ending = false; /* its answer was lost, and so, perhaps, was the request */
--- a/src/coordination/machines.c
+++ b/src/coordination/machines.c
@@ -276,7 +276,8 @@
     p->seen = true;
     p->unsettled = false;
     if (!j) { /* cancelled */
-        add_order(orders, MV_STOP, piece, 0);
+        if (!GUARD(CANCELLED, false))
+            add_order(orders, MV_STOP, piece, 0);
         return;
     }
     if (piece->status != MV_PULLING && p->running_at == 0) {
@@ -563,6 +564,9 @@
         mv_info("machine_silent", "machine=%s quiet_s=%.1f pieces=%u", m->id, quiet,
                 m->placements->len);
     m->lost = lost;
+    /* Its tasks stay placed: silence proves nothing. They wait until it is in no block. */
+    while (lost && GUARD(RELEASED, false) && m->placements->len)
+        drop_placement(c, m, m->placements->len - 1, true);
     /* A task that saves may be stopped in time for the notice; others may still end by then. */
     for (guint i = 0; m->recall_at && i < m->placements->len; i++) {
         placement *p = g_ptr_array_index(m->placements, i);
--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -31,7 +31,7 @@
     for (guint i = 0; i < c->turn->len; i++) {
         const machine *m = g_ptr_array_index(c->turn, i);
         const mv_type *t = type_of(c, m);
-        if (m->shard == s && t && (may_hold_tasks(m) || m->strangers)) {
+        if (m->shard == s && t && !GUARD(UNKNOWN, !may_hold_tasks(m) && !m->strangers)) {
             *cores += t->cores;
             *cards += t->cards;
         }
@@ -45,10 +45,11 @@
     if (t->cpus_max <= 0 && t->gpus_max <= 0)
         return true;
     unknown_use(c, j->team->shard, &cores, &cards);
-    return (t->cpus_max <= 0 ||
-            j->team->used_cores + cores + j->spec.cores <= t->cpus_max + MV_ROUNDING) &&
-           (t->gpus_max <= 0 ||
-            j->team->used_cards + cards + j->spec.cards <= t->gpus_max + MV_ROUNDING);
+    bool cores_fit = t->cpus_max <= 0 ||
+                     j->team->used_cores + cores + j->spec.cores <= t->cpus_max + MV_ROUNDING;
+    bool cards_fit = t->gpus_max <= 0 ||
+                     j->team->used_cards + cards + j->spec.cards <= t->gpus_max + MV_ROUNDING;
+    return GUARD(LIMIT, cores_fit && cards_fit);
 }
 
 /* After a take-over a task known from before may run on a machine that is still silent. */
@@ -59,7 +60,9 @@
         return false;
     for (guint i = 0; i < c->turn->len; i++) {
         const machine *m = g_ptr_array_index(c->turn, i);
-        if (m->shard == s && may_hold_tasks(m) && (!type_of(c, m) || allowed_on(c, j, m)))
+        bool holds_none = m->shard != s || !may_hold_tasks(m) ||
+                          (type_of(c, m) && !allowed_on(c, j, m));
+        if (!GUARD(REBUILD, holds_none))
             return true;
     }
     return false;
--- /dev/null
+++ b/tests/sim.c
@@ -0,0 +1,910 @@
+#include "sim.h"
+
+#include "protocol/names.h"
+
+#include <stdarg.h>
+#include <string.h>
+
+#define NODES 3
+#define CAPACITY 14
+
+typedef void (*event_fn)(sim *s, gpointer data);
+
+typedef struct {
+    double at;
+    guint64 seq;
+    event_fn fn;
+    gpointer data;
+} event;
+
+typedef struct {
+    mv_settings *conf;
+    mv_core *core;
+    bool up;
+    unsigned life; /* answers to an earlier process are lost with it */
+    double drift;
+    uint64_t hold, incarnation;
+    bool session, listed;
+    guint followed; /* log items seen */
+    double state_cut_until, worker_cut_until, back_at;
+    guint index;
+} node;
+
+typedef struct {
+    char id[MV_ID_SIZE];
+    int team;
+    unsigned pieces;
+    double cores, run_s;
+    bool spot, accepted, cancelled, fails;
+    double submit_at, cancel_at, cancelled_at;
+    bool *completed;
+} sim_job;
+
+struct sim {
+    const sim_plan *plan;
+    GRand *rand;
+    GSequence *events;
+    guint64 seq;
+    double now;
+    st_state *state;
+    double outage_until;
+    node nodes[NODES];
+    GPtrArray *workers;
+    guint worker_names;
+    GHashTable *hires; /* hire -> GPtrArray of names */
+    GArray *jobs;      /* sim_job */
+    char *broken;
+};
+
+static const char *const TEAMS[] = {"red", "green", "blue"};
+static const double LIMITS[] = {64, 40, 0};
+
+/* --- events --- */
+
+static gint by_time(gconstpointer a, gconstpointer b, gpointer data)
+{
+    const event *x = a, *y = b;
+    (void)data;
+    if (x->at != y->at)
+        return x->at < y->at ? -1 : 1;
+    return x->seq < y->seq ? -1 : x->seq > y->seq;
+}
+
+static void later(sim *s, double delay, event_fn fn, gpointer data)
+{
+    event *e = g_new0(event, 1);
+    e->at = s->now + delay;
+    e->seq = ++s->seq;
+    e->fn = fn;
+    e->data = data;
+    g_sequence_insert_sorted(s->events, e, by_time, NULL);
+}
+
+static double rnd(sim *s, double low, double high)
+{
+    return g_rand_double_range(s->rand, low, high);
+}
+
+static bool chance(sim *s, double p)
+{
+    return g_rand_double(s->rand) < p;
+}
+
+static void broken(sim *s, const char *format, ...)
+{
+    va_list ap;
+    if (s->broken)
+        return;
+    va_start(ap, format);
+    g_autofree char *what = g_strdup_vprintf(format, ap);
+    va_end(ap);
+    s->broken = g_strdup_printf("at %.2f: %s", s->now, what);
+}
+
+/* --- looking up --- */
+
+static sim_job *job_named(sim *s, const char *id)
+{
+    for (guint i = 0; i < s->jobs->len; i++)
+        if (strcmp(g_array_index(s->jobs, sim_job, i).id, id) == 0)
+            return &g_array_index(s->jobs, sim_job, i);
+    return NULL;
+}
+
+static st_worker *worker_named(sim *s, const char *id)
+{
+    for (guint i = 0; i < s->workers->len; i++)
+        if (strcmp(((st_worker *)g_ptr_array_index(s->workers, i))->id, id) == 0)
+            return g_ptr_array_index(s->workers, i);
+    return NULL;
+}
+
+static st_task_facts facts(void *ctx, const char *id)
+{
+    const sim_job *j = job_named(ctx, id);
+    if (!j || !j->accepted)
+        return (st_task_facts){0};
+    return (st_task_facts){
+        .cores = j->cores, .ram_gb = 1, .run_s = j->run_s, .known = true, .fails = j->fails};
+}
+
+/* --- rules --- */
+
+static void check_worker(sim *s, st_worker *w, GHashTable *on, double *used)
+{
+    if (w->gone || s->now < w->up_at)
+        return;
+    st_worker_run(w, s->now);
+    for (guint i = 0; i < w->tasks->len; i++) {
+        const st_task *t = g_ptr_array_index(w->tasks, i);
+        sim_job *j = job_named(s, t->job);
+        if (t->status == ST_ENDED) {
+            if (j && t->cause == MV_WHY_DONE)
+                j->completed[t->piece] = true;
+            continue;
+        }
+        char *key = g_strdup_printf("%s/%u", t->job, t->piece);
+        if (!g_hash_table_add(on, key))
+            broken(s, "ran_twice %s/%u", t->job, t->piece);
+        if (!j)
+            continue;
+        used[j->team] += t->cores;
+        if (!j->spot && w->spot)
+            broken(s, "wrong_place %s on %s", t->job, w->id);
+        if (j->cancelled && s->now > j->cancelled_at + s->nodes[0].conf->cancel_s)
+            broken(s, "ran_cancelled %s/%u on %s", t->job, t->piece, w->id);
+    }
+}
+
+static void check_rules(sim *s)
+{
+    g_autoptr(GHashTable) on = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    double used[3] = {0};
+    for (guint i = 0; i < s->workers->len; i++)
+        check_worker(s, g_ptr_array_index(s->workers, i), on, used);
+    for (int t = 0; t < 3; t++)
+        if (LIMITS[t] > 0 && used[t] > LIMITS[t] + 1e-6)
+            broken(s, "quota %s uses %.1f of %.0f", TEAMS[t], used[t], LIMITS[t]);
+}
+
+static bool job_over(sim *s, sim_job *j)
+{
+    char key[MV_KEY_SIZE];
+    g_snprintf(key, sizeof key, K_FINAL "%s", j->id);
+    const st_item *item = st_get(s->state, key);
+    if (!item)
+        return false;
+    gsize n;
+    const void *p = g_bytes_get_data(item->data, &n);
+    g_autoptr(mv_doc) doc = mv_doc_parse(p, n);
+    bool done = false;
+    unsigned pieces = 0;
+    g_assert_true(mv_final_parse(mv_doc_root(doc), &done, &pieces));
+    if (done && j->cancelled)
+        broken(s, "went_back %s", j->id);
+    for (unsigned i = 0; done && i < j->pieces; i++)
+        if (!j->completed[i])
+            broken(s, "not_done %s/%u", j->id, i);
+    return true;
+}
+
+/* --- the controllers' surroundings --- */
+
+static double local(const sim *s, const node *n)
+{
+    return 1000 + s->now * (1 + n->drift);
+}
+
+static bool state_reached(const sim *s, const node *n)
+{
+    return n->up && s->now >= n->state_cut_until && s->now >= s->outage_until;
+}
+
+typedef struct {
+    node *n;
+    unsigned life;
+    mv_action *a;
+    int status;
+    mv_report report;
+    bool has_report;
+    GPtrArray *hosts;
+    bool refused;
+    mv_txn_outcome outcome;
+    GArray *listed;
+    uint64_t hold;
+} call;
+
+static void drain(sim *s, node *n);
+
+static void call_free(call *c)
+{
+    mv_action_free(c->a);
+    mv_report_clear(&c->report);
+    if (c->hosts)
+        g_ptr_array_unref(c->hosts);
+    if (c->listed)
+        g_array_unref(c->listed);
+    g_free(c);
+}
+
+static void call_back(sim *s, gpointer data)
+{
+    call *c = data;
+    node *n = c->n;
+    if (n->up && n->life == c->life) {
+        double now = local(s, n);
+        switch (c->a->kind) {
+        case MV_ACT_TXN:
+            mv_core_txn_done(n->core, now, c->a->id, c->outcome);
+            break;
+        case MV_ACT_COMMAND:
+            mv_core_command_done(n->core, now, c->a->id, c->status,
+                                 c->has_report ? &c->report : NULL);
+            break;
+        case MV_ACT_RENT:
+            mv_core_rent_done(n->core, now, c->a->id, c->hosts, c->refused);
+            break;
+        case MV_ACT_RELEASE:
+            mv_core_release_done(n->core, now, c->a->id, c->status == 200);
+            break;
+        case MV_ACT_LIST:
+            mv_core_list_page(n->core, now, c->a->id, c->listed, false);
+            break;
+        default:
+            break;
+        }
+        drain(s, n);
+    }
+    call_free(c);
+}
+
+/* A copy that arrives late or whose answer is lost: carried out, but nobody learns of it. */
+static void txn_late(sim *s, gpointer data)
+{
+    call *c = data;
+    if (s->now >= s->outage_until)
+        st_txn(s->state, c->a->conds, c->a->changes, c->hold);
+    call_free(c);
+}
+
+static mv_action *copy_txn(const mv_action *a)
+{
+    mv_action *b = g_new0(mv_action, 1);
+    b->kind = a->kind;
+    b->conds = g_array_copy(a->conds);
+    b->changes = g_array_copy(a->changes);
+    for (guint i = 0; i < b->changes->len; i++) {
+        mv_change *ch = &g_array_index(b->changes, mv_change, i);
+        if (ch->data)
+            g_bytes_ref(ch->data);
+    }
+    return b;
+}
+
+static void do_txn(sim *s, gpointer data)
+{
+    call *c = data;
+    c->outcome = MV_TXN_UNKNOWN;
+    double delay = rnd(s, 0.002, 0.02);
+    if (!state_reached(s, c->n)) {
+        delay = 1.5;
+    } else if (chance(s, s->plan->hold)) { /* held back: applied up to a minute later */
+        call *copy = g_new0(call, 1);
+        copy->a = copy_txn(c->a);
+        copy->hold = c->hold;
+        later(s, rnd(s, 1, 60), txn_late, copy);
+        delay = 1.5;
+    } else {
+        int status = st_txn(s->state, c->a->conds, c->a->changes, c->hold);
+        c->outcome = status == 200   ? MV_TXN_OK
+                     : status == 409 ? MV_TXN_CONFLICT
+                                     : MV_TXN_UNKNOWN;
+        if (chance(s, s->plan->lose)) {
+            c->outcome = MV_TXN_UNKNOWN;
+            delay = 1.5;
+        }
+    }
+    later(s, delay, call_back, c);
+}
+
+typedef struct {
+    char worker[MV_NAME_SIZE];
+    uint64_t baton, tenure;
+    GArray *orders;
+} late_command;
+
+static void command_late(sim *s, gpointer data)
+{
+    late_command *lc = data;
+    st_worker *w = worker_named(s, lc->worker);
+    if (w && !w->gone && s->now >= w->up_at)
+        st_worker_command(w, lc->baton, lc->tenure, lc->orders, s->now, facts, s);
+    g_array_unref(lc->orders);
+    g_free(lc);
+}
+
+static void do_command(sim *s, gpointer data)
+{
+    call *c = data;
+    st_worker *w = worker_named(s, c->a->machine);
+    bool reached = w && !w->gone && s->now >= w->up_at && s->now >= c->n->worker_cut_until;
+    if (w && !w->gone && (chance(s, s->plan->hold) || s->now < c->n->worker_cut_until)) {
+        late_command *lc = g_new0(late_command, 1);
+        g_strlcpy(lc->worker, w->id, sizeof lc->worker);
+        lc->baton = c->a->baton;
+        lc->tenure = c->a->tenure;
+        lc->orders = g_array_ref(c->a->orders);
+        later(s, rnd(s, 1, 90), command_late, lc);
+        reached = false;
+    }
+    if (!reached) {
+        later(s, 1.5, call_back, c);
+        return;
+    }
+    c->status =
+        st_worker_command(w, c->a->baton, c->a->tenure, c->a->orders, s->now, facts, s);
+    st_worker_report(w, &c->report);
+    c->has_report = !chance(s, s->plan->lose);
+    if (!c->has_report)
+        c->status = 0;
+    later(s, c->has_report ? rnd(s, 0.001, 0.05) : 1.5, call_back, c);
+}
+
+static guint machines_alive(const sim *s)
+{
+    guint n = 0;
+    for (guint i = 0; i < s->workers->len; i++)
+        n += !((st_worker *)g_ptr_array_index(s->workers, i))->gone;
+    return n;
+}
+
+static void rent_worker(sim *s, const mv_action *a, GPtrArray *names)
+{
+    g_autofree char *id = g_strdup_printf("vm-%06u", ++s->worker_names);
+    st_worker *w = st_worker_new(id, a->hull, a->spot, s->nodes[0].conf->lease_s);
+    g_strlcpy(w->address, id, sizeof w->address);
+    w->up_at = s->now + (chance(s, 0.05) ? 1e9 : rnd(s, 1, 15));
+    w->lease_from = w->up_at;
+    w->changed = true;
+    g_ptr_array_add(s->workers, w);
+    g_ptr_array_add(names, g_strdup(id));
+}
+
+static void worker_step(sim *s, gpointer data);
+
+static void do_rent(sim *s, gpointer data)
+{
+    call *c = data;
+    GPtrArray *names = g_hash_table_lookup(s->hires, c->a->name);
+    if (!names && machines_alive(s) >= CAPACITY) {
+        c->refused = true;
+    } else if (!names) {
+        names = g_ptr_array_new_with_free_func(g_free);
+        g_hash_table_insert(s->hires, g_strdup(c->a->name), names);
+        for (unsigned i = 0; i < c->a->number && machines_alive(s) < CAPACITY; i++) {
+            rent_worker(s, c->a, names);
+            later(s, rnd(s, 0, 0.2), worker_step, g_ptr_array_index(s->workers, s->workers->len - 1));
+        }
+    }
+    if (names && !chance(s, s->plan->lose))
+        c->hosts = g_ptr_array_ref(names);
+    later(s, rnd(s, 0.05, 0.3), call_back, c);
+}
+
+static void do_release(sim *s, gpointer data)
+{
+    call *c = data;
+    for (guint i = 0; i < c->a->hosts->len; i++) {
+        st_worker *w = worker_named(s, g_ptr_array_index(c->a->hosts, i));
+        if (w)
+            w->gone = true;
+    }
+    c->status = chance(s, s->plan->lose) ? 0 : 200;
+    later(s, rnd(s, 0.05, 0.3), call_back, c);
+}
+
+static void do_list(sim *s, gpointer data)
+{
+    call *c = data;
+    c->listed = g_array_new(FALSE, TRUE, sizeof(mv_listed));
+    for (guint i = 0; i < s->workers->len; i++) {
+        const st_worker *w = g_ptr_array_index(s->workers, i);
+        if (w->gone)
+            continue;
+        mv_listed l = {.loaners = w->spot, .booting = s->now < w->up_at, .age_s = 30};
+        g_strlcpy(l.id, w->id, sizeof l.id);
+        g_strlcpy(l.address, w->address, sizeof l.address);
+        g_strlcpy(l.hull, w->hull, sizeof l.hull);
+        g_strlcpy(l.yard, "z", sizeof l.yard);
+        g_array_append_val(c->listed, l);
+    }
+    later(s, rnd(s, 2, 8), call_back, c); /* the list lags */
+}
+
+static GArray *the_types(void)
+{
+    GArray *types = g_array_new(FALSE, TRUE, sizeof(mv_type));
+    mv_type t = {.cores = 16, .ram_gb = 64, .local_gb = 50, .pull_rate = 1, .ready_s = 10};
+    g_strlcpy(t.name, "big", sizeof t.name);
+    t.rate = 1;
+    t.market = 0.3;
+    t.n_yards = 1;
+    t.yards = g_malloc0(MV_NAME_SIZE);
+    g_strlcpy(t.yards[0], "z", MV_NAME_SIZE);
+    g_array_append_val(types, t);
+    return types;
+}
+
+static void do_demand(sim *s, gpointer data)
+{
+    call *c = data;
+    for (int i = 0; i < NODES; i++) {
+        node *n = &s->nodes[i];
+        if (!n->up || strcmp(n->conf->node_name, c->a->to) != 0)
+            continue;
+        mv_core_demand(n->core, local(s, n), c->a->demand);
+        c->a->demand = NULL;
+        drain(s, n);
+        break;
+    }
+    call_free(c);
+}
+
+static void do_types(sim *s, gpointer data)
+{
+    call *c = data;
+    if (c->n->up && c->n->life == c->life) {
+        mv_core_types(c->n->core, local(s, c->n), the_types());
+        drain(s, c->n);
+    }
+    call_free(c);
+}
+
+static void drain(sim *s, node *n)
+{
+    static const event_fn doers[] = {do_txn,     do_command, do_rent,  do_release,
+                                     do_list,    do_types,   do_demand};
+    mv_action *a;
+    while ((a = mv_core_next(n->core))) {
+        call *c = g_new0(call, 1);
+        c->n = n;
+        c->life = n->life;
+        c->a = a;
+        c->hold = n->hold;
+        later(s, rnd(s, 0.001, 0.02), doers[a->kind], c);
+    }
+}
+
+static void renew(sim *s, node *n)
+{
+    double sent = local(s, n);
+    if (!state_reached(s, n))
+        return;
+    if (n->session && !st_lease_renew(s->state, n->hold, s->now)) {
+        n->session = false;
+        mv_core_session(n->core, sent, 0, sent);
+        return;
+    }
+    if (!n->session) {
+        n->hold = st_lease_open(s->state, MV_SESSION_TTL_S, s->now);
+        n->session = true;
+        if (!n->incarnation)
+            n->incarnation = n->hold;
+    }
+    mv_core_session(n->core, sent, n->incarnation, sent);
+}
+
+static gint by_key(gconstpointer a, gconstpointer b)
+{
+    return strcmp(((const st_item *)a)->key, ((const st_item *)b)->key);
+}
+
+static void follow(sim *s, node *n)
+{
+    double now = local(s, n);
+    if (!state_reached(s, n) || !n->incarnation)
+        return;
+    if (!n->listed) {
+        g_autoptr(GList) items = g_hash_table_get_values(s->state->items);
+        items = g_list_sort(items, by_key);
+        for (GList *l = items; l; l = l->next) {
+            const st_item *i = l->data;
+            if (g_str_has_prefix(i->key, K_LIVE))
+                mv_core_record(n->core, now, i->key, i->data, i->stamp);
+        }
+        mv_core_synced(n->core, now);
+        n->listed = true;
+        n->followed = s->state->log->len;
+    }
+    for (; n->followed < s->state->log->len; n->followed++) {
+        const st_item *i = g_ptr_array_index(s->state->log, n->followed);
+        if (g_str_has_prefix(i->key, K_LIVE))
+            mv_core_record(n->core, now, i->key, i->data, i->stamp);
+    }
+    mv_core_followed(n->core, now, now);
+}
+
+static void start_node(sim *s, node *n)
+{
+    n->core = mv_core_new(n->conf);
+    n->up = true;
+    n->life++;
+    n->incarnation = n->hold = 0;
+    n->session = n->listed = false;
+    n->followed = 0;
+    (void)s;
+}
+
+static void stop_node(sim *s, node *n, double away)
+{
+    if (!n->up)
+        return;
+    mv_core_free(n->core);
+    n->core = NULL;
+    n->up = false;
+    n->back_at = s->now + away;
+}
+
+static void node_step(sim *s, gpointer data)
+{
+    node *n = data;
+    if (!n->up && s->now >= n->back_at)
+        start_node(s, n);
+    if (n->up) {
+        if (!n->session || ((int)(s->now * 10) + (int)n->index) % 10 == 0)
+            renew(s, n);
+        follow(s, n);
+        mv_core_tick(n->core, local(s, n), 1e6 + s->now + rnd(s, -0.5, 0.5));
+        drain(s, n);
+    }
+    later(s, rnd(s, 0.08, 0.15), node_step, n);
+}
+
+/* --- workers --- */
+
+typedef struct {
+    char worker[MV_NAME_SIZE];
+    uint64_t tenure;
+    double sent;
+    mv_report_answer answer;
+    guint next;
+} reply;
+
+static void worker_reply(sim *s, gpointer data)
+{
+    reply *r = data;
+    st_worker *w = worker_named(s, r->worker);
+    if (w && !w->gone && r->answer.status == 200)
+        st_worker_answer(w, r->tenure, r->sent, r->answer.baton, r->answer.orders, s->now, facts,
+                         s);
+    if (r->answer.orders)
+        g_array_unref(r->answer.orders);
+    if (w)
+        later(s, w->changed ? 0.5 : rnd(s, 0.7, 1.3), worker_step, w);
+    g_free(r);
+}
+
+static guint steward(sim *s, const char *name, guint at)
+{
+    for (guint i = 0; i < NODES; i++)
+        if (strcmp(s->nodes[i].conf->node_name, name) == 0)
+            return i;
+    return (at + 1) % NODES;
+}
+
+/* Which node a worker reports to is kept in its name's hash slot of the address text. */
+static guint worker_at(const st_worker *w)
+{
+    const char *at = strrchr(w->address, '@');
+    return at ? (guint)g_ascii_strtoull(at + 1, NULL, 10) : 0;
+}
+
+static void worker_go(st_worker *w, guint to)
+{
+    g_snprintf(w->address, sizeof w->address, "%s@%u", w->id, to);
+}
+
+static void worker_step(sim *s, gpointer data)
+{
+    st_worker *w = data;
+    if (w->gone)
+        return;
+    if (s->now < w->up_at) {
+        later(s, MIN(w->up_at - s->now, 5), worker_step, w);
+        return;
+    }
+    st_worker_run(w, s->now);
+    guint at = worker_at(w);
+    node *n = &s->nodes[at];
+    bool cut = s->now < n->worker_cut_until || !n->up || chance(s, s->plan->lose);
+    if (cut) {
+        worker_go(w, (at + 1) % NODES);
+        later(s, n->up ? 4 : 1, worker_step, w);
+        return;
+    }
+    reply *r = g_new0(reply, 1);
+    g_strlcpy(r->worker, w->id, sizeof r->worker);
+    mv_report report;
+    st_worker_report(w, &report);
+    r->tenure = w->tenure;
+    r->sent = s->now;
+    mv_core_report(n->core, local(s, n), &report, &r->answer);
+    drain(s, n);
+    mv_report_clear(&report);
+    if (r->answer.status != 200)
+        worker_go(w, r->answer.status == 421 ? steward(s, r->answer.steward, at)
+                                              : (at + 1) % NODES);
+    later(s, rnd(s, 0.001, 0.3), worker_reply, r);
+}
+
+/* --- users --- */
+
+static GBytes *job_record(const sim *s, const sim_job *j)
+{
+    mv_job spec = {.urgency = MV_STANDARD, .pieces = j->pieces, .cores = j->cores, .ram_gb = 1};
+    g_strlcpy(spec.id, j->id, sizeof spec.id);
+    g_strlcpy(spec.lane, "work", sizeof spec.lane);
+    g_strlcpy(spec.crew, TEAMS[j->team], sizeof spec.crew);
+    g_strlcpy(spec.bundle, "img", sizeof spec.bundle);
+    spec.loaners = j->spot;
+    spec.guess_s = j->run_s;
+    spec.due_s = -1;
+    return mv_accepted_pack(&spec, 1e6 + s->now);
+}
+
+static int change_job(sim *s, const sim_job *j, uint64_t stamp, GBytes *live, GBytes *final)
+{
+    g_autoptr(GArray) conds = g_array_new(FALSE, TRUE, sizeof(mv_cond));
+    g_autoptr(GArray) changes = g_array_new(FALSE, TRUE, sizeof(mv_change));
+    mv_cond c = {.stamp = stamp};
+    mv_change ch = {.data = live};
+    g_snprintf(c.key, sizeof c.key, K_JOB "%s", j->id);
+    g_strlcpy(ch.key, c.key, sizeof ch.key);
+    g_array_append_val(conds, c);
+    g_array_append_val(changes, ch);
+    g_snprintf(c.key, sizeof c.key, K_FINAL "%s", j->id);
+    c.stamp = 0;
+    g_array_append_val(conds, c);
+    if (final) {
+        g_strlcpy(ch.key, c.key, sizeof ch.key);
+        ch.data = final;
+        g_array_append_val(changes, ch);
+        g_snprintf(ch.key, sizeof ch.key, K_PROGRESS "%s/0", j->id);
+        ch.data = NULL;
+        g_array_append_val(changes, ch);
+    }
+    return st_txn(s->state, conds, changes, 0);
+}
+
+static void cancel(sim *s, gpointer data)
+{
+    sim_job *j = &g_array_index(s->jobs, sim_job, GPOINTER_TO_UINT(data));
+    char key[MV_KEY_SIZE];
+    g_snprintf(key, sizeof key, K_JOB "%s", j->id);
+    if (s->now < s->outage_until) {
+        later(s, 1, cancel, data);
+        return;
+    }
+    const st_item *item = st_get(s->state, key);
+    if (!item)
+        return;
+    g_autoptr(GBytes) final = mv_final_pack(false, j->pieces, s->now);
+    j->cancelled = change_job(s, j, item->stamp, NULL, final) == 200;
+    j->cancelled_at = s->now;
+}
+
+static void submit(sim *s, gpointer data)
+{
+    sim_job *j = &g_array_index(s->jobs, sim_job, GPOINTER_TO_UINT(data));
+    if (s->now < s->outage_until) {
+        later(s, 1, submit, data);
+        return;
+    }
+    g_autoptr(GBytes) live = job_record(s, j);
+    j->accepted = change_job(s, j, 0, live, NULL) == 200;
+    if (j->cancel_at > 0)
+        later(s, j->cancel_at, cancel, data);
+}
+
+static void make_jobs(sim *s)
+{
+    for (unsigned i = 0; i < s->plan->jobs; i++) {
+        sim_job j = {.team = g_rand_int_range(s->rand, 0, 3),
+                     .pieces = (unsigned)g_rand_int_range(s->rand, 1, 20),
+                     .cores = g_rand_int_range(s->rand, 1, 5) * 2,
+                     .run_s = rnd(s, 2, 25),
+                     .spot = chance(s, 0.7)};
+        g_snprintf(j.id, sizeof j.id, "j-%06u", i + 1);
+        j.cancel_at = chance(s, s->plan->cancel) ? rnd(s, 0.1, 40) : 0;
+        j.fails = j.cancel_at > 0 && chance(s, 0.3);
+        j.completed = g_new0(bool, j.pieces);
+        g_array_append_val(s->jobs, j);
+        later(s, rnd(s, 0, s->plan->until * 0.8), submit, GUINT_TO_POINTER(i));
+    }
+}
+
+/* --- troubles --- */
+
+static void crash(sim *s, gpointer data)
+{
+    node *n = &s->nodes[g_rand_int_range(s->rand, 0, NODES)];
+    stop_node(s, n, chance(s, 0.2) ? 0.2 : 4);
+    if (s->now < s->plan->until)
+        later(s, rnd(s, 0.2, 2) * s->plan->crash, crash, data);
+}
+
+static void crash_all(sim *s, gpointer data)
+{
+    for (int i = 0; i < NODES; i++)
+        stop_node(s, &s->nodes[i], rnd(s, 2, 5));
+    if (s->now < s->plan->until)
+        later(s, rnd(s, 0.2, 2) * s->plan->all_crash, crash_all, data);
+}
+
+static void cut_state(sim *s, gpointer data)
+{
+    s->nodes[g_rand_int_range(s->rand, 0, NODES)].state_cut_until = s->now + rnd(s, 2, 30);
+    if (s->now < s->plan->until)
+        later(s, rnd(s, 0.2, 2) * s->plan->state_cut, cut_state, data);
+}
+
+static void cut_workers(sim *s, gpointer data)
+{
+    s->nodes[g_rand_int_range(s->rand, 0, NODES)].worker_cut_until = s->now + rnd(s, 2, 30);
+    if (s->now < s->plan->until)
+        later(s, rnd(s, 0.2, 2) * s->plan->worker_cut, cut_workers, data);
+}
+
+static void outage_over(sim *s, gpointer data)
+{
+    (void)data;
+    st_state_extend(s->state, s->now);
+}
+
+static void outage(sim *s, gpointer data)
+{
+    s->outage_until = s->now + rnd(s, 3, 25);
+    later(s, s->outage_until - s->now, outage_over, NULL);
+    if (s->now < s->plan->until)
+        later(s, rnd(s, 0.5, 2) * s->plan->outage, outage, data);
+}
+
+static void die(sim *s, gpointer data)
+{
+    if (s->workers->len)
+        ((st_worker *)g_ptr_array_index(
+             s->workers, (guint)g_rand_int_range(s->rand, 0, (gint)s->workers->len)))
+            ->gone = true;
+    if (s->now < s->plan->until)
+        later(s, rnd(s, 0.2, 2) * s->plan->die, die, data);
+}
+
+static void expire(sim *s, gpointer data)
+{
+    if (s->now >= s->outage_until)
+        st_state_expire(s->state, s->now);
+    later(s, 0.05, expire, data);
+}
+
+/* --- a run --- */
+
+static mv_settings *make_settings(const sim_plan *plan, int index)
+{
+    mv_settings *c = g_new0(mv_settings, 1);
+    g_snprintf(c->node_name, sizeof c->node_name, "node-%d", index);
+    c->count = NODES;
+    c->n_teams = 3;
+    c->teams = g_new0(mv_team, 3);
+    for (int i = 0; i < 3; i++) {
+        g_strlcpy(c->teams[i].name, TEAMS[i], MV_NAME_SIZE);
+        c->teams[i].cpus = LIMITS[i] / 2;
+        c->teams[i].cpus_max = LIMITS[i];
+    }
+    c->report_s = 1;
+    c->lease_s = 12;
+    c->cancel_s = 30;
+    c->state_rps = 100;
+    c->state_write_rps = 50;
+    c->value_kb = 16;
+    c->txn_ops = 12;
+    c->cloud_rps = 10;
+    c->list_lag_s = 6;
+    c->tune = (mv_tunables){.image_wait_s = MV_IMAGE_WAIT_S,
+                            .block_lease_s = MV_BLOCK_LEASE_S,
+                            .idle_return_s = 10,
+                            .boot_factor = 3,
+                            .shards = plan->shards};
+    return c;
+}
+
+static void first(sim *s, double mean, event_fn fn)
+{
+    if (mean > 0)
+        later(s, rnd(s, 0.2, 1.5) * mean, fn, NULL);
+}
+
+static bool all_over(sim *s)
+{
+    for (guint i = 0; i < s->jobs->len; i++)
+        if (!job_over(s, &g_array_index(s->jobs, sim_job, i)))
+            return false;
+    return true;
+}
+
+static void sim_free(sim *s)
+{
+    GSequenceIter *it = g_sequence_get_begin_iter(s->events);
+    for (; !g_sequence_iter_is_end(it); it = g_sequence_iter_next(it)) {
+        event *e = g_sequence_get(it);
+        if (e->fn == command_late) {
+            g_array_unref(((late_command *)e->data)->orders);
+            g_free(e->data);
+        } else if (e->fn == worker_reply) {
+            reply *r = e->data;
+            if (r->answer.orders)
+                g_array_unref(r->answer.orders);
+            g_free(r);
+        } else if (e->fn == call_back || e->fn == txn_late || e->fn == do_txn ||
+                   e->fn == do_command || e->fn == do_rent || e->fn == do_release ||
+                   e->fn == do_list || e->fn == do_types || e->fn == do_demand) {
+            call_free(e->data);
+        }
+    }
+    g_sequence_free(s->events);
+    for (int i = 0; i < NODES; i++) {
+        mv_core_free(s->nodes[i].core);
+        mv_settings_free(s->nodes[i].conf);
+    }
+    for (guint i = 0; i < s->jobs->len; i++)
+        g_free(g_array_index(s->jobs, sim_job, i).completed);
+    g_array_unref(s->jobs);
+    g_hash_table_unref(s->hires);
+    g_ptr_array_unref(s->workers);
+    st_state_free(s->state);
+    g_rand_free(s->rand);
+}
+
+char *sim_run(guint32 seed, const sim_plan *plan)
+{
+    sim s = {.plan = plan, .rand = g_rand_new_with_seed(seed)};
+    s.events = g_sequence_new(g_free);
+    s.state = st_state_new();
+    s.workers = g_ptr_array_new_with_free_func(st_worker_free);
+    s.hires = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                    (GDestroyNotify)g_ptr_array_unref);
+    s.jobs = g_array_new(FALSE, TRUE, sizeof(sim_job));
+    for (guint i = 0; i < NODES; i++) {
+        s.nodes[i].conf = make_settings(plan, (int)i);
+        s.nodes[i].index = i;
+        s.nodes[i].drift = rnd(&s, 0, MV_CLOCK_DRIFT);
+        later(&s, rnd(&s, 0, 0.5), node_step, &s.nodes[i]);
+    }
+    make_jobs(&s);
+    later(&s, 0, expire, NULL);
+    first(&s, plan->crash, crash);
+    first(&s, plan->all_crash, crash_all);
+    first(&s, plan->state_cut, cut_state);
+    first(&s, plan->worker_cut, cut_workers);
+    first(&s, plan->outage, outage);
+    first(&s, plan->die, die);
+    bool over = false;
+    double looked = 0;
+    while (!s.broken && !over && s.now < plan->until + plan->settle) {
+        GSequenceIter *it = g_sequence_get_begin_iter(s.events);
+        event e = *(event *)g_sequence_get(it);
+        g_sequence_remove(it);
+        s.now = e.at;
+        e.fn(&s, e.data);
+        check_rules(&s);
+        if (s.now > looked + 1) {
+            looked = s.now;
+            over = all_over(&s) && s.now > plan->until;
+        }
+    }
+    if (!s.broken && !over)
+        for (guint i = 0; i < s.jobs->len; i++)
+            if (!job_over(&s, &g_array_index(s.jobs, sim_job, i)))
+                broken(&s, "stuck %s", g_array_index(s.jobs, sim_job, i).id);
+    sim_free(&s);
+    return s.broken;
+}
--- /dev/null
+++ b/tests/sim.h
@@ -0,0 +1,21 @@
+/* A simulated deployment round real cores: three controllers, a state service, a cloud, workers
+ * and users, with delays, losses, late copies, crashes, cuts and outages. Every rule that the core
+ * answers for is checked after each step. */
+#ifndef MV_SIM_H
+#define MV_SIM_H
+#include "standins.h"
+
+typedef struct sim sim;
+
+typedef struct {
+    double crash, all_crash, state_cut, worker_cut, outage, die; /* mean seconds between; 0: never */
+    double lose, hold;                                         /* share of messages */
+    double cancel;                                             /* share of jobs */
+    double until, settle;                                      /* faults end; all must be done by */
+    unsigned shards, jobs;
+} sim_plan;
+
+/* NULL when every rule held and all jobs came to their end; else what was broken. The caller
+ * frees. */
+char *sim_run(guint32 seed, const sim_plan *plan);
+#endif
--- /dev/null
+++ b/tests/standins.c
@@ -0,0 +1,297 @@
+#include "standins.h"
+
+#include <string.h>
+
+/* --- state service --- */
+
+static void item_free(gpointer p)
+{
+    st_item *i = p;
+    if (i->data)
+        g_bytes_unref(i->data);
+    g_free(i);
+}
+
+st_state *st_state_new(void)
+{
+    st_state *s = g_new0(st_state, 1);
+    s->items = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, item_free);
+    s->log = g_ptr_array_new_with_free_func(item_free);
+    s->leases = g_array_new(FALSE, TRUE, sizeof(st_lease));
+    return s;
+}
+
+void st_state_free(st_state *s)
+{
+    g_hash_table_unref(s->items);
+    g_ptr_array_unref(s->log);
+    g_array_unref(s->leases);
+    g_free(s);
+}
+
+static st_item *item_new(const char *key, GBytes *data, uint64_t stamp, uint64_t hold)
+{
+    st_item *i = g_new0(st_item, 1);
+    g_strlcpy(i->key, key, sizeof i->key);
+    i->data = data ? g_bytes_ref(data) : NULL;
+    i->stamp = stamp;
+    i->hold = hold;
+    return i;
+}
+
+static void put(st_state *s, const char *key, GBytes *data, uint64_t hold)
+{
+    if (!data && !g_hash_table_contains(s->items, key))
+        return;
+    g_ptr_array_add(s->log, item_new(key, data, s->epoch, hold));
+    if (data) {
+        st_item *i = item_new(key, data, s->epoch, hold);
+        g_hash_table_replace(s->items, i->key, i);
+    } else {
+        g_hash_table_remove(s->items, key);
+    }
+}
+
+uint64_t st_lease_open(st_state *s, double ttl, double now)
+{
+    st_lease l = {.id = ++s->next_lease, .ttl = ttl, .until = now + ttl};
+    g_array_append_val(s->leases, l);
+    return l.id;
+}
+
+static st_lease *lease(st_state *s, uint64_t id)
+{
+    for (guint i = 0; i < s->leases->len; i++)
+        if (g_array_index(s->leases, st_lease, i).id == id)
+            return &g_array_index(s->leases, st_lease, i);
+    return NULL;
+}
+
+bool st_lease_renew(st_state *s, uint64_t id, double now)
+{
+    st_lease *l = lease(s, id);
+    if (!l)
+        return false;
+    l->until = now + l->ttl;
+    return true;
+}
+
+void st_state_expire(st_state *s, double now)
+{
+    for (guint i = s->leases->len; i-- > 0;) {
+        st_lease l = g_array_index(s->leases, st_lease, i);
+        if (now < l.until)
+            continue;
+        g_array_remove_index(s->leases, i);
+        g_autoptr(GList) keys = g_hash_table_get_values(s->items);
+        s->epoch++;
+        for (GList *k = keys; k; k = k->next) {
+            st_item *item = k->data;
+            if (item->hold != l.id)
+                continue;
+            g_autofree char *key = g_strdup(item->key);
+            put(s, key, NULL, 0);
+        }
+    }
+}
+
+void st_state_extend(st_state *s, double now)
+{
+    for (guint i = 0; i < s->leases->len; i++) {
+        st_lease *l = &g_array_index(s->leases, st_lease, i);
+        l->until = now + l->ttl;
+    }
+}
+
+const st_item *st_get(const st_state *s, const char *key)
+{
+    return g_hash_table_lookup(s->items, key);
+}
+
+int st_txn(st_state *s, const GArray *conds, const GArray *changes, uint64_t hold)
+{
+    for (guint i = 0; i < changes->len; i++) {
+        const mv_change *ch = &g_array_index(changes, mv_change, i);
+        if (ch->data && ch->held && !lease(s, hold))
+            return 400;
+    }
+    for (guint i = 0; i < conds->len; i++) {
+        const mv_cond *c = &g_array_index(conds, mv_cond, i);
+        const st_item *have = st_get(s, c->key);
+        if ((have ? have->stamp : 0) != c->stamp)
+            return 409;
+    }
+    if (changes->len)
+        s->epoch++;
+    for (guint i = 0; i < changes->len; i++) {
+        const mv_change *ch = &g_array_index(changes, mv_change, i);
+        put(s, ch->key, ch->data, ch->held ? hold : 0);
+    }
+    return 200;
+}
+
+/* --- workers --- */
+
+st_worker *st_worker_new(const char *id, const char *hull, bool spot, double lease_s)
+{
+    st_worker *w = g_new0(st_worker, 1);
+    g_strlcpy(w->id, id, sizeof w->id);
+    g_strlcpy(w->hull, hull, sizeof w->hull);
+    w->spot = spot;
+    w->tenure = 1;
+    w->lease_s = lease_s;
+    w->tasks = g_ptr_array_new_with_free_func(g_free);
+    w->images = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    return w;
+}
+
+void st_worker_free(gpointer p)
+{
+    st_worker *w = p;
+    g_ptr_array_unref(w->tasks);
+    g_hash_table_unref(w->images);
+    g_free(w);
+}
+
+void st_worker_run(st_worker *w, double now)
+{
+    if (now > w->lease_from + w->lease_s) {
+        w->tenure++;
+        w->lease_from = now;
+        w->changed = true;
+        g_ptr_array_set_size(w->tasks, 0);
+    }
+    for (guint i = 0; i < w->tasks->len; i++) {
+        st_task *t = g_ptr_array_index(w->tasks, i);
+        if (t->status == ST_ENDED || now < t->until)
+            continue;
+        w->changed = true;
+        t->status = ST_ENDED;
+        if (t->cause == MV_WHY_NONE)
+            t->cause = MV_WHY_DONE;
+    }
+}
+
+void st_worker_report(st_worker *w, mv_report *out)
+{
+    memset(out, 0, sizeof *out);
+    g_strlcpy(out->host, w->id, sizeof out->host);
+    g_strlcpy(out->address, w->address, sizeof out->address);
+    g_strlcpy(out->hull, w->hull, sizeof out->hull);
+    g_strlcpy(out->yard, "z", sizeof out->yard);
+    out->loaners = w->spot;
+    out->tenure = w->tenure;
+    out->tick = ++w->tick;
+    out->baton = w->baton;
+    out->recall_s = -1;
+    out->pieces = g_new0(mv_piece, w->tasks->len + 1);
+    for (guint i = 0; i < w->tasks->len; i++) {
+        const st_task *t = g_ptr_array_index(w->tasks, i);
+        mv_piece *p = &out->pieces[out->n_pieces++];
+        g_strlcpy(p->job, t->job, sizeof p->job);
+        p->piece = t->piece;
+        p->attempt = t->attempt;
+        p->status = t->status == ST_ENDED ? MV_ENDED : MV_RUNNING;
+        p->cause = t->status == ST_ENDED ? t->cause : MV_WHY_NONE;
+    }
+    w->changed = false;
+}
+
+static st_task *find_task(st_worker *w, const mv_order *o, bool *same)
+{
+    st_task *other = NULL;
+    for (guint i = 0; i < w->tasks->len; i++) {
+        st_task *t = g_ptr_array_index(w->tasks, i);
+        if (t->piece != o->piece || strcmp(t->job, o->job) != 0)
+            continue;
+        if (t->attempt == o->attempt) {
+            *same = true;
+            return t;
+        }
+        if (t->status != ST_ENDED)
+            other = t;
+    }
+    *same = false;
+    return other;
+}
+
+static void launch(st_worker *w, const mv_order *o, double now, st_facts facts, void *ctx)
+{
+    bool same;
+    const st_task *old = find_task(w, o, &same);
+    if (old && same)
+        return;
+    st_task_facts f = facts(ctx, o->job);
+    st_task *t = g_new0(st_task, 1);
+    g_strlcpy(t->job, o->job, sizeof t->job);
+    t->piece = o->piece;
+    t->attempt = o->attempt;
+    t->status = ST_ENDED;
+    t->cores = f.cores;
+    t->ram_gb = f.ram_gb;
+    g_ptr_array_add(w->tasks, t);
+    w->changed = true;
+    if (!f.known) {
+        t->cause = MV_WHY_UNKNOWN;
+    } else if (old) {
+        t->cause = MV_WHY_BUSY;
+    } else {
+        double cores = 0;
+        for (guint i = 0; i < w->tasks->len; i++) {
+            const st_task *x = g_ptr_array_index(w->tasks, i);
+            cores += x->status != ST_ENDED ? x->cores : 0;
+        }
+        if (cores + f.cores > 16 + 1e-6) {
+            t->cause = MV_WHY_NO_ROOM;
+        } else {
+            t->status = ST_RUNNING;
+            t->cause = f.fails ? MV_WHY_ERROR : MV_WHY_NONE;
+            t->until = now + (f.fails ? 0.5 : f.run_s);
+        }
+    }
+}
+
+void st_worker_orders(st_worker *w, const GArray *orders, double now, st_facts facts, void *ctx)
+{
+    for (guint i = 0; orders && i < orders->len; i++) {
+        const mv_order *o = &g_array_index(orders, mv_order, i);
+        bool same;
+        st_task *t = find_task(w, o, &same);
+        if (o->verb == MV_LAUNCH) {
+            launch(w, o, now, facts, ctx);
+        } else if (t && same && o->verb == MV_STOP && t->status != ST_ENDED) {
+            t->status = ST_ENDED;
+            t->cause = MV_WHY_STOPPED;
+            w->changed = true;
+        } else if (t && same && o->verb == MV_CLEAR && t->status == ST_ENDED) {
+            g_ptr_array_remove(w->tasks, t);
+        }
+    }
+}
+
+bool st_worker_answer(st_worker *w, uint64_t tenure, double sent, uint64_t baton,
+                      const GArray *orders, double now, st_facts facts, void *ctx)
+{
+    st_worker_run(w, now);
+    if (tenure != w->tenure || baton < w->baton)
+        return false;
+    if (baton > w->baton)
+        w->changed = true;
+    w->baton = baton;
+    w->lease_from = MAX(w->lease_from, sent);
+    st_worker_orders(w, orders, now, facts, ctx);
+    return true;
+}
+
+int st_worker_command(st_worker *w, uint64_t baton, uint64_t tenure, const GArray *orders,
+                      double now, st_facts facts, void *ctx)
+{
+    st_worker_run(w, now);
+    if (baton < w->baton || tenure != w->tenure)
+        return 409;
+    if (baton > w->baton)
+        w->changed = true;
+    w->baton = baton;
+    st_worker_orders(w, orders, now, facts, ctx);
+    return 200;
+}
--- /dev/null
+++ b/tests/standins.h
@@ -0,0 +1,79 @@
+/* Stand-ins of the outside systems, by their published protocol: the state service, the cloud and
+ * the workers. Shared by the simulation and the loopback test; the seed of a rehearsal kit. */
+#ifndef MV_STANDINS_H
+#define MV_STANDINS_H
+#include "coordination/core.h"
+
+/* --- state service --- */
+typedef struct {
+    char key[MV_KEY_SIZE];
+    GBytes *data; /* NULL in the log: removed */
+    uint64_t stamp, hold;
+} st_item;
+
+typedef struct {
+    uint64_t id;
+    double ttl, until;
+} st_lease;
+
+typedef struct {
+    GHashTable *items; /* key -> st_item */
+    GPtrArray *log;    /* st_item */
+    GArray *leases;
+    uint64_t epoch, next_lease;
+} st_state;
+
+st_state *st_state_new(void);
+void st_state_free(st_state *s);
+uint64_t st_lease_open(st_state *s, double ttl, double now);
+bool st_lease_renew(st_state *s, uint64_t id, double now);
+void st_state_expire(st_state *s, double now);
+void st_state_extend(st_state *s, double now); /* after an outage */
+const st_item *st_get(const st_state *s, const char *key);
+/* 200, 409 or 400. */
+int st_txn(st_state *s, const GArray *conds, const GArray *changes, uint64_t hold);
+
+/* --- workers --- */
+typedef enum { ST_RUNNING, ST_ENDED } st_status;
+
+typedef struct {
+    char job[MV_ID_SIZE];
+    uint32_t piece;
+    uint64_t attempt;
+    st_status status;
+    mv_cause cause;
+    double until; /* end of the run */
+    double cores, ram_gb;
+} st_task;
+
+typedef struct {
+    char id[MV_NAME_SIZE], address[64], hull[MV_NAME_SIZE];
+    bool spot, gone, stuck; /* stuck: never boots */
+    double up_at;
+    uint64_t tenure, tick, baton;
+    double lease_from; /* when the last answered report was sent */
+    double lease_s;
+    GPtrArray *tasks; /* st_task */
+    GHashTable *images;
+    bool changed;
+} st_worker;
+
+typedef struct {
+    double cores, ram_gb, run_s;
+    bool known, fails;
+} st_task_facts;
+typedef st_task_facts (*st_facts)(void *ctx, const char *job);
+
+st_worker *st_worker_new(const char *id, const char *hull, bool spot, double lease_s);
+void st_worker_free(gpointer w);
+/* Moves its tasks on to `now`; ends the session when the lease ran out. */
+void st_worker_run(st_worker *w, double now);
+void st_worker_report(st_worker *w, mv_report *out);
+void st_worker_orders(st_worker *w, const GArray *orders, double now, st_facts facts, void *ctx);
+/* A response to a report that was sent at `sent` in session `tenure`: whether it counted. */
+bool st_worker_answer(st_worker *w, uint64_t tenure, double sent, uint64_t baton,
+                      const GArray *orders, double now, st_facts facts, void *ctx);
+/* POST /commands: 200 or 409. */
+int st_worker_command(st_worker *w, uint64_t baton, uint64_t tenure, const GArray *orders,
+                      double now, st_facts facts, void *ctx);
+#endif
