--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -116,6 +116,13 @@
     return c->now + c->wall_offset;
 }
 
+/* A recorded time of day on our steady clock, never in the future: a record read before the first
+ * tick once gave a machine a birth so late that its silence was never noticed. */
+double from_wall(const mv_core *c, double at)
+{
+    return MIN(at - c->wall_offset, c->now);
+}
+
 /* A transaction in flight blocks a second try, but not for ever: its answer may be lost. */
 bool pending(uint64_t *txn_id, double at, double now)
 {
--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -377,6 +377,8 @@
     const char *yard;
     bool spot;
     double price;
+    const shard *shard;
+    unsigned number;
 } offer;
 
 /* The cheapest machine for each task it would take of these. */
@@ -396,7 +398,7 @@
                 double price = (spot ? t->market : t->rate) / n;
                 if (g_hash_table_contains(c->refused, key) || (found && price >= out->price))
                     continue;
-                *out = (offer){(int)i, t->yards[y], spot, price};
+                *out = (offer){.type = (int)i, .yard = t->yards[y], .spot = spot, .price = price};
                 found = true;
             }
         }
@@ -404,6 +406,17 @@
     return found;
 }
 
+/* While an offer is being asked for, what it can still give is not known. */
+static bool asking(const mv_core *c, const char *hull, const char *yard, bool spot)
+{
+    for (guint i = 0; i < c->rentals->len; i++) {
+        const rental *r = g_ptr_array_index(c->rentals, i);
+        if (r->spot == spot && strcmp(r->hull, hull) == 0 && strcmp(r->yard, yard) == 0)
+            return true;
+    }
+    return false;
+}
+
 static void ask(mv_core *c, rental *r)
 {
     mv_action *a = act(c, MV_ACT_RENT);
@@ -416,7 +429,23 @@
     r->retry_at = 0;
 }
 
-static void rent(mv_core *c, const offer *o, unsigned number, const shard *s)
+/* Requests for the same offer and shard are made as one. */
+static void add_request(GArray *requests, const offer *o, unsigned number)
+{
+    for (guint i = 0; i < requests->len; i++) {
+        offer *r = &g_array_index(requests, offer, i);
+        if (r->type == o->type && r->spot == o->spot && r->shard == o->shard &&
+            strcmp(r->yard, o->yard) == 0) {
+            r->number += number;
+            return;
+        }
+    }
+    offer fresh = *o;
+    fresh.number = number;
+    g_array_append_val(requests, fresh);
+}
+
+static void rent(mv_core *c, const offer *o)
 {
     const mv_type *t = &g_array_index(c->types, mv_type, o->type);
     rental *r = g_new0(rental, 1);
@@ -426,8 +455,8 @@
     g_strlcpy(r->hull, t->name, sizeof r->hull);
     g_strlcpy(r->yard, o->yard, sizeof r->yard);
     r->spot = o->spot;
-    r->number = MIN(number, MV_MAX_RENT);
-    r->shard = s->index;
+    r->number = MIN(o->number, MV_MAX_RENT);
+    r->shard = o->shard->index;
     g_ptr_array_add(c->rentals, r);
     ask(c, r);
 }
@@ -438,6 +467,7 @@
         return;
     c->sized_at = c->now;
     g_autoptr(GArray) bins = present_bins(c);
+    g_autoptr(GArray) requests = g_array_new(FALSE, TRUE, sizeof(offer));
     for (int pass = 0; pass < 2; pass++)
         for (guint i = 0; i < c->shards->len; i++) {
             const shard *s = g_ptr_array_index(c->shards, i);
@@ -454,13 +484,19 @@
                     const mv_type *t = &g_array_index(c->types, mv_type, o.type);
                     unsigned per = slots(w, t->cores, t->cards, t->ram_gb);
                     unsigned n = MIN((left + per - 1) / per, MV_MAX_RENT);
-                    rent(c, &o, n, s);
+                    o.shard = s;
+                    add_request(requests, &o, n);
                     for (unsigned x = 0; x < n; x++)
                         add_bin(bins, c, o.type, o.yard, o.spot, s, 0, 0);
                     pack(w, s, bins, left);
                 }
             }
         }
+    for (guint i = 0; i < requests->len; i++) {
+        const offer *o = &g_array_index(requests, offer, i);
+        if (!asking(c, g_array_index(c->types, mv_type, o->type).name, o->yard, o->spot))
+            rent(c, o);
+    }
 }
 
 void mv_core_rent_done(mv_core *c, double now, uint64_t id, const GPtrArray *hosts, bool refused)
--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -220,6 +220,7 @@
 bool holds(const mv_core *c, const shard *s);
 bool leads(const mv_core *c);
 double wall(const mv_core *c);
+double from_wall(const mv_core *c, double at);
 void settle(mv_core *c);
 bool pending(uint64_t *txn_id, double at, double now);
 /* membership.c */
--- a/src/coordination/jobs.c
+++ b/src/coordination/jobs.c
@@ -42,7 +42,7 @@
     j->spec = *spec; /* takes its list */
     j->stamp = stamp;
     j->submitted_wall = at;
-    j->accepted_at = at - c->wall_offset;
+    j->accepted_at = from_wall(c, at);
     j->state = g_new0(uint8_t, spec->pieces);
     j->chunks = (spec->pieces + MV_CHUNK_TASKS - 1) / MV_CHUNK_TASKS;
     j->chunk_dirty = g_new0(bool, j->chunks);
--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -115,7 +115,7 @@
             continue;
         if (m->shard != s) {
             reset_machine(c, m);
-            m->rented_at = b->at - c->wall_offset;
+            m->rented_at = from_wall(c, b->at);
             /* It entered the block under our grant: nothing of this block can be on it. */
             m->fresh = s->stamp != 0 && stamp > s->grant_stamp && c->synced;
         }
--- a/src/service/daemon.c
+++ b/src/service/daemon.c
@@ -685,6 +685,7 @@
     d->peers = g_new0(mv_peer *, conf->n_siblings + 1);
     for (size_t i = 0; i < conf->n_siblings; i++)
         d->peers[i] = mv_peer_new(&conf->siblings[i].back);
+    mv_core_tick(d->core, steady(), time_of_day()); /* records speak of the time of day */
     mv_http_client_init();
     d->back = mv_peer_listen(&conf->back, on_peer, d);
     d->http = d->back ? mv_http_listen(&conf->listen, conf->max_connections, on_http, d) : NULL;
--- /dev/null
+++ b/tests/test_codec.c
@@ -0,0 +1,299 @@
+/* Bodies good and bad, random bytes included: nothing may crash, leak or be taken for valid. */
+#include "protocol/messages.h"
+#include "protocol/names.h"
+#include "protocol/records.h"
+
+#include <math.h>
+#include <string.h>
+
+typedef void (*spoil)(mv_out *o);
+
+/* A sound submission, but for the field `skip`, which `with` writes instead (NULL: left out). */
+static GBytes *submission(const char *skip, spoil with)
+{
+    mv_out *o = mv_out_new();
+    static const char *const texts[][2] = {{N_ID, "j-000412"},    {N_LANE, "train"},
+                                           {N_CREW, "vision"},    {N_SHAPE, N_BATCH},
+                                           {N_URGENCY, N_HIGH},   {N_BUNDLE, "img-07"}};
+    static const char *const numbers[] = {N_CORES, N_CARDS,      N_RAM,      N_PULL,
+                                          N_GUESS, N_MARK_EVERY, N_MARK_COST};
+    static const char *const flags[] = {N_TOGETHER, N_APART, N_LOANERS};
+    mv_put_map(o, 20 - (skip && !with));
+    for (size_t i = 0; i < G_N_ELEMENTS(texts); i++)
+        if (g_strcmp0(skip, texts[i][0]) != 0)
+            mv_field_text(o, texts[i][0], texts[i][1]);
+    for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++)
+        if (g_strcmp0(skip, numbers[i]) != 0)
+            mv_field_num(o, numbers[i], 2.0);
+    for (size_t i = 0; i < G_N_ELEMENTS(flags); i++)
+        if (g_strcmp0(skip, flags[i]) != 0)
+            mv_field_bool(o, flags[i], false);
+    if (g_strcmp0(skip, N_PIECES) != 0)
+        mv_field_u64(o, N_PIECES, 16);
+    static const char *const nullable[] = {N_HULLS, N_YARD, N_DUE};
+    for (size_t i = 0; i < G_N_ELEMENTS(nullable); i++)
+        if (g_strcmp0(skip, nullable[i]) != 0) {
+            mv_put_text(o, nullable[i]);
+            mv_put_nil(o);
+        }
+    if (skip && with) {
+        mv_put_text(o, skip);
+        with(o);
+    }
+    return mv_out_take(o);
+}
+
+static const char *parse(GBytes *bytes, mv_job *job)
+{
+    gsize n;
+    const void *p = g_bytes_get_data(bytes, &n);
+    g_autoptr(mv_doc) doc = mv_doc_parse(p, n);
+    g_assert_nonnull(doc);
+    return mv_job_parse(mv_doc_root(doc), job);
+}
+
+static void put_negative(mv_out *o)
+{
+    mv_put_num(o, -1);
+}
+
+static void put_nan(mv_out *o)
+{
+    mv_put_num(o, NAN);
+}
+
+static void put_infinite(mv_out *o)
+{
+    mv_put_num(o, INFINITY);
+}
+
+static void put_word(mv_out *o)
+{
+    mv_put_text(o, "nonsense");
+}
+
+static void put_number(mv_out *o)
+{
+    mv_put_num(o, 3.5);
+}
+
+static void put_zero(mv_out *o)
+{
+    mv_put_u64(o, 0);
+}
+
+static void put_huge(mv_out *o)
+{
+    mv_put_u64(o, MV_MAX_PIECES + 1);
+}
+
+static void put_list_of_numbers(mv_out *o)
+{
+    mv_put_list(o, 1);
+    mv_put_u64(o, 1);
+}
+
+static void put_empty_list(mv_out *o)
+{
+    mv_put_list(o, 0);
+}
+
+static void put_daemon(mv_out *o)
+{
+    mv_put_text(o, "daemon");
+}
+
+static void submissions(void)
+{
+    mv_job job;
+    g_autoptr(GBytes) good = submission(NULL, NULL);
+    g_assert_null(parse(good, &job));
+    g_assert_cmpstr(job.id, ==, "j-000412");
+    g_assert_cmpuint(job.pieces, ==, 16);
+    g_assert_cmpfloat(job.due_s, <, 0);
+    mv_job_clear(&job);
+    static const struct {
+        const char *field;
+        spoil with;
+    } bad[] = {{N_ID, NULL},
+               {N_ID, put_word},
+               {N_ID, put_number},
+               {N_LANE, NULL},
+               {N_CREW, put_number},
+               {N_SHAPE, put_word},
+               {N_SHAPE, put_daemon},
+               {N_URGENCY, put_word},
+               {N_URGENCY, NULL},
+               {N_PIECES, put_zero},
+               {N_PIECES, put_huge},
+               {N_PIECES, put_number},
+               {N_PIECES, put_negative},
+               {N_CORES, put_negative},
+               {N_CORES, put_nan},
+               {N_CORES, put_infinite},
+               {N_CORES, put_word},
+               {N_CORES, NULL},
+               {N_RAM, put_negative},
+               {N_PULL, put_word},
+               {N_GUESS, put_nan},
+               {N_MARK_EVERY, put_negative},
+               {N_MARK_COST, put_infinite},
+               {N_HULLS, put_word},
+               {N_HULLS, put_list_of_numbers},
+               {N_HULLS, put_empty_list},
+               {N_YARD, put_number},
+               {N_TOGETHER, put_word},
+               {N_APART, NULL},
+               {N_LOANERS, put_number},
+               {N_BUNDLE, put_number},
+               {N_DUE, put_negative},
+               {N_DUE, put_word}};
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        g_autoptr(GBytes) b = submission(bad[i].field, bad[i].with);
+        const char *why = parse(b, &job);
+        g_assert_cmpstr(why, ==, bad[i].field);
+        mv_job_clear(&job);
+    }
+    /* A field that may be null may also be left out. */
+    g_autoptr(GBytes) less = submission(N_DUE, NULL);
+    g_assert_null(parse(less, &job));
+    mv_job_clear(&job);
+}
+
+static void malformed_bytes(void)
+{
+    static const struct {
+        const char *bytes;
+        size_t n;
+    } bad[] = {{"", 0},
+               {"\xc1", 1},                     /* never used */
+               {"\x81\xa1", 2},                 /* cut short */
+               {"\xc4\x01x", 3},                /* binary */
+               {"\xd4\x01x", 3},                /* extension */
+               {"\xdd\xff\xff\xff\xff", 5},     /* a list of four thousand million items */
+               {"\xdf\xff\xff\xff\xff", 5},     /* a map of as many */
+               {"\xdb\xff\xff\xff\xff", 5},     /* a text of as many */
+               {"\xc0\xc0", 2},                 /* two values */
+               {"\x91\x91\x91\x91\x91\x91", 6}};
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
+        g_assert_null(mv_doc_parse(bad[i].bytes, bad[i].n));
+    /* Nested deeper than any message: refused or read, but no crash. */
+    GByteArray *deep = g_byte_array_new();
+    for (int i = 0; i < 60000; i++)
+        g_byte_array_append(deep, (const guint8 *)"\x91", 1);
+    g_byte_array_append(deep, (const guint8 *)"\xc0", 1);
+    mv_doc_free(mv_doc_parse(deep->data, deep->len));
+    g_byte_array_unref(deep);
+}
+
+/* Whatever the bytes are, every parser returns. Some start from a sound message with bytes
+ * changed, so that they get far. */
+static void random_bytes(void)
+{
+    GRand *r = g_rand_new_with_seed(20261201);
+    g_autoptr(GBytes) good = submission(NULL, NULL);
+    gsize size;
+    const guint8 *model = g_bytes_get_data(good, &size);
+    unsigned parsed = 0;
+    for (int round = 0; round < 60000; round++) {
+        guint8 buf[600];
+        gsize n = (gsize)g_rand_int_range(r, 0, 200);
+        if (round % 2) {
+            n = size;
+            memcpy(buf, model, size);
+            for (int k = g_rand_int_range(r, 1, 4); k > 0; k--)
+                buf[g_rand_int_range(r, 0, (gint32)n)] = (guint8)g_rand_int_range(r, 0, 256);
+        } else {
+            for (gsize i = 0; i < n; i++)
+                buf[i] = (guint8)g_rand_int_range(r, 0, 256);
+        }
+        g_autoptr(mv_doc) doc = mv_doc_parse(buf, n);
+        if (!doc)
+            continue;
+        parsed++;
+        const msgpack_object *o = mv_doc_root(doc);
+        mv_job job;
+        mv_report rep;
+        mv_holder h;
+        bool more, done;
+        unsigned pieces;
+        double at;
+        if (mv_job_parse(o, &job) == NULL)
+            g_assert_true(job.pieces >= 1 && job.pieces <= MV_MAX_PIECES && isfinite(job.cores));
+        mv_job_clear(&job);
+        (void)mv_report_parse(o, &rep);
+        mv_report_clear(&rep);
+        (void)mv_holder_parse(o, &h);
+        mv_holder_clear(&h);
+        (void)mv_final_parse(o, &done, &pieces);
+        if (mv_accepted_parse(o, &job, &at))
+            mv_job_clear(&job);
+        GArray *list = mv_list_parse(o, &more);
+        if (list)
+            g_array_unref(list);
+        list = mv_types_parse(o);
+        if (list)
+            g_array_unref(list);
+        list = mv_block_parse(o);
+        if (list)
+            g_array_unref(list);
+    }
+    g_rand_free(r);
+    g_assert_cmpuint(parsed, >, 1000);
+}
+
+static void reports(void)
+{
+    mv_out *o = mv_out_new();
+    mv_put_map(o, 8);
+    mv_field_text(o, N_HOST, "vm-000231");
+    mv_field_text(o, N_ADDRESS, "10.1.0.232:9000");
+    mv_field_text(o, N_HULL, "g8");
+    mv_field_u64(o, N_TENURE, 1);
+    mv_field_u64(o, N_TICK, 88);
+    mv_field_u64(o, N_BATON, G_MAXUINT64);
+    mv_field_num(o, N_RECALL, 12.5);
+    mv_put_text(o, N_PIECES);
+    mv_put_list(o, 2);
+    mv_put_map(o, 4);
+    mv_field_text(o, N_PIECE, "j-000412/3");
+    mv_field_u64(o, N_TRY, 2);
+    mv_field_text(o, N_STATUS, N_ENDED);
+    mv_field_text(o, N_CAUSE, "never heard of");
+    mv_put_map(o, 3);
+    mv_field_text(o, N_PIECE, "j-000398/0");
+    mv_field_u64(o, N_TRY, 1);
+    mv_field_text(o, N_STATUS, "something new");
+    g_autoptr(GBytes) bytes = mv_out_take(o);
+    gsize n;
+    const void *p = g_bytes_get_data(bytes, &n);
+    g_autoptr(mv_doc) doc = mv_doc_parse(p, n);
+    mv_report r;
+    g_assert_true(mv_report_parse(mv_doc_root(doc), &r));
+    g_assert_true(r.baton == G_MAXUINT64);
+    g_assert_cmpfloat(r.recall_s, ==, 12.5);
+    /* Unknown words are read as what frees nothing. */
+    g_assert_cmpint(r.pieces[0].cause, ==, MV_WHY_ERROR);
+    g_assert_cmpint(r.pieces[1].status, ==, MV_RUNNING);
+    mv_report_clear(&r);
+}
+
+static void job_ids(void)
+{
+    g_assert_true(mv_job_id_valid("j-000412"));
+    static const char *const bad[] = {"", "j-", "j-12x", "k-000412", "j-000412/3", "J-000412",
+                                      "j-0000000000000000000000000000000000"};
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
+        g_assert_false(mv_job_id_valid(bad[i]));
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/codec/submissions", submissions);
+    g_test_add_func("/codec/malformed", malformed_bytes);
+    g_test_add_func("/codec/random", random_bytes);
+    g_test_add_func("/codec/reports", reports);
+    g_test_add_func("/codec/ids", job_ids);
+    return g_test_run();
+}
--- /dev/null
+++ b/tests/test_settings.c
@@ -0,0 +1,159 @@
+/* The platform's file and the operators': what is right is read, what is wrong is named. */
+#include "bookkeeping/settings.h"
+
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <string.h>
+#include <unistd.h>
+
+static const char GOOD[] = "node_name = \"n0\"\n"
+                           "area = \"a\"\n"
+                           "listen = \"10.0.0.1:8080\"\n"
+                           "back = \"10.0.0.1:8081\"\n"
+                           "unheard_of = [1, 2]\n"
+                           "[[siblings]]\n"
+                           "node_name = \"n1\"\n"
+                           "address = \"10.0.0.2:8081\"\n"
+                           "[outside]\n"
+                           "cloud = \"10.2.0.2:8443\"\n"
+                           "state = \"10.2.0.1:2379\"\n"
+                           "[settings]\n"
+                           "count = 2\n"
+                           "[[settings.teams]]\n"
+                           "name = \"red\"\n"
+                           "cpus = 80.0\n"
+                           "cpus_max = 192\n"
+                           "[[settings.objectives]]\n"
+                           "kind = \"wait\"\n"
+                           "class = \"rush\"\n"
+                           "within_s = 2.0\n"
+                           "[settings.workers]\n"
+                           "report_s = 3.0\n"
+                           "lease_s = 27.0\n"
+                           "cancel_s = 47.0\n"
+                           "[settings.state]\n"
+                           "rps = 150.0\n"
+                           "write_rps = 30.0\n"
+                           "value_kb = 16.0\n"
+                           "txn_ops = 24\n"
+                           "[settings.cloud]\n"
+                           "rps = 10.0\n"
+                           "list_lag_s = 6.0\n";
+
+static char *write_file(const char *text)
+{
+    char *path = NULL;
+    int fd = g_file_open_tmp("mv-test-XXXXXX", &path, NULL);
+    g_assert_cmpint(fd, >=, 0);
+    g_assert_cmpint(write(fd, text, strlen(text)), ==, (gssize)strlen(text));
+    close(fd);
+    return path;
+}
+
+static mv_settings *load(const char *toml, const char *yaml, char *error, size_t size)
+{
+    g_autofree char *path = write_file(toml);
+    g_autofree char *operator_path = yaml ? write_file(yaml) : NULL;
+    mv_settings *s = mv_settings_load(path, operator_path, error, size);
+    g_unlink(path);
+    if (operator_path)
+        g_unlink(operator_path);
+    return s;
+}
+
+static void good(void)
+{
+    char error[300] = "";
+    mv_settings *s = load(GOOD, NULL, error, sizeof error);
+    g_assert_cmpstr(error, ==, "");
+    g_assert_nonnull(s);
+    g_assert_cmpuint(s->n_siblings, ==, 1);
+    g_assert_cmpuint(s->state.port, ==, 2379);
+    g_assert_cmpfloat(mv_settings_team(s, "red")->cpus_max, ==, 192);
+    g_assert_null(mv_settings_team(s, "blue"));
+    g_assert_cmpint(s->objectives[0].kind, ==, MV_OBJ_WAIT);
+    /* An outdated holder and then its workers must both be over before cancel_s. */
+    g_assert_cmpfloat(mv_settings_block_lease(s) + s->lease_s, <, s->cancel_s);
+    mv_settings_free(s);
+}
+
+/* Replaces a line that starts with `from`; NULL: removes it. */
+static char *with_line(const char *from, const char *to)
+{
+    g_auto(GStrv) lines = g_strsplit(GOOD, "\n", -1);
+    GString *out = g_string_new(NULL);
+    bool found = false;
+    for (char **l = lines; *l; l++) {
+        if (!found && g_str_has_prefix(*l, from)) {
+            found = true;
+            if (to)
+                g_string_append_printf(out, "%s\n", to);
+        } else {
+            g_string_append_printf(out, "%s\n", *l);
+        }
+    }
+    g_assert_true(found);
+    return g_string_free(out, FALSE);
+}
+
+static void bad_platform(void)
+{
+    static const struct {
+        const char *line, *instead, *named;
+    } cases[] = {{"node_name", NULL, "node_name"},
+                 {"listen", "listen = \"localhost:1\"", "listen"},
+                 {"listen", "listen = \"10.0.0.1:99999\"", "listen"},
+                 {"listen", "listen = 8080", "listen"},
+                 {"back", NULL, "back"},
+                 {"cloud", "cloud = \"10.2.0.2\"", "outside.cloud"},
+                 {"state", NULL, "outside.state"},
+                 {"address", "address = \"x\"", "siblings[0].address"},
+                 {"name", "name = \"\"", "settings.teams[0].name"},
+                 {"cpus_max", "cpus_max = -1.0", "settings.teams[0].cpus_max"},
+                 {"cpus =", "cpus = \"many\"", "settings.teams[0].cpus"},
+                 {"report_s", NULL, "settings.workers.report_s"},
+                 {"lease_s", "lease_s = nan", "settings.workers.lease_s"},
+                 {"lease_s", "lease_s = 50.0", "settings.workers.cancel_s"},
+                 {"txn_ops", "txn_ops = 0", "settings.state.txn_ops"},
+                 {"rps", "rps = 0.0", "settings.state.rps"},
+                 {"list_lag_s", "list_lag_s = inf", "settings.cloud.list_lag_s"},
+                 {"area", "area = [", "line 3"}};
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        char error[300] = "";
+        g_autofree char *toml = with_line(cases[i].line, cases[i].instead);
+        g_assert_null(load(toml, NULL, error, sizeof error));
+        g_assert_nonnull(strstr(error, cases[i].named));
+        g_assert_null(strchr(error, '\n'));
+    }
+    char error[300] = "";
+    g_assert_null(mv_settings_load("/nowhere/at/all", NULL, error, sizeof error));
+    g_assert_cmpstr(error, !=, "");
+}
+
+static void operators(void)
+{
+    char error[300] = "";
+    mv_settings *s = load(GOOD, "image_wait_s: 1.5\nshards: 3\n", error, sizeof error);
+    g_assert_cmpstr(error, ==, "");
+    g_assert_cmpfloat(s->tune.image_wait_s, ==, 1.5);
+    g_assert_cmpuint(s->tune.shards, ==, 3);
+    g_assert_cmpfloat(s->tune.idle_return_s, ==, MV_IDLE_RETURN_S);
+    mv_settings_free(s);
+    static const char *const bad[] = {"image_wait_s: -1\n", "image_wait_s: soon\n", "shards: 5000\n",
+                                      "no_such_setting: 1\n", "- a\n- b\n",
+                                      "boot_factor: 0.2\n"};
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        error[0] = 0;
+        g_assert_null(load(GOOD, bad[i], error, sizeof error));
+        g_assert_cmpstr(error, !=, "");
+    }
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/settings/good", good);
+    g_test_add_func("/settings/bad-platform", bad_platform);
+    g_test_add_func("/settings/operators", operators);
+    return g_test_run();
+}
