--- a/tests/sim.c
+++ b/tests/sim.c
@@ -420,9 +420,15 @@
     later(s, rnd(s, 2, 8), call_back, c); /* the list lags */
 }
 
+static void clear_type(gpointer p)
+{
+    g_free(((mv_type *)p)->yards);
+}
+
 static GArray *the_types(void)
 {
     GArray *types = g_array_new(FALSE, TRUE, sizeof(mv_type));
+    g_array_set_clear_func(types, clear_type);
     mv_type t = {.cores = 16, .ram_gb = 64, .local_gb = 50, .pull_rate = 1, .ready_s = 10};
     g_strlcpy(t.name, "big", sizeof t.name);
     t.rate = 1;
