--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -52,7 +52,9 @@
         if (m->shard != s)
             continue;
         mv_note n = {.idle_s = m->placements->len || !m->confirmed ? 0 : c->now - m->idle_since,
-                     .silent_s = c->now - m->heard_at,
+                     /* A new holder has heard nobody yet: that is its own newness, not theirs.
+                      * Without this every take-over gave back the whole fleet as never booted. */
+                     .silent_s = c->now - MAX(m->heard_at, s->taken_at),
                      .fence = g_hash_table_size(m->sticky) > 0 &&
                               c->now > m->sticky_since + MV_FENCE_AFTER_S,
                      .give_back = m->give_back || (m->faulty && !m->placements->len),
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -395,8 +395,14 @@
     call *c = data;
     for (guint i = 0; i < c->a->hosts->len; i++) {
         st_worker *w = worker_named(s, g_ptr_array_index(c->a->hosts, i));
-        if (w)
-            w->gone = true;
+        if (!w)
+            continue;
+        /* Where nothing is cut and no machine dies, none that works may be given back. */
+        if (!s->plan->worker_cut && !s->plan->die && !s->plan->hold)
+            for (guint k = 0; k < w->tasks->len && !w->gone; k++)
+                if (((st_task *)g_ptr_array_index(w->tasks, k))->status == ST_RUNNING)
+                    broken(s, "released %s at work", w->id);
+        w->gone = true;
     }
     c->status = chance(s, s->plan->lose) ? 0 : 200;
     later(s, rnd(s, 0.05, 0.3), call_back, c);
