--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -102,6 +102,30 @@
            j->spec.ram_gb <= ram + MV_ROUNDING;
 }
 
+/* The shortest time within which an aim wants this job's tasks started; G_MAXDOUBLE: none. */
+static double start_aim(const mv_core *c, const job *j)
+{
+    double aim = G_MAXDOUBLE;
+    for (size_t i = 0; i < c->conf->n_objectives; i++) {
+        const mv_objective *o = &c->conf->objectives[i];
+        bool applies = (o->kind == MV_OBJ_WAIT && strcmp(o->lane, j->spec.lane) == 0) ||
+                       (o->kind == MV_OBJ_GUARANTEE && j->guaranteed);
+        if (applies)
+            aim = MIN(aim, o->within_s);
+    }
+    return aim;
+}
+
+/* Waiting for a cached image longer than fetching it here would take can gain nothing, and work
+ * that should start within seconds has few to give away. */
+static double image_wait(const mv_core *c, const job *j, const machine *m)
+{
+    const mv_type *t = type_of(c, m);
+    double fetch = t && t->pull_rate > 0 ? j->spec.pull_gb / t->pull_rate : 0;
+    double limit = MIN(c->conf->tune.image_wait_s, MV_START_SHARE * start_aim(c, j));
+    return MIN(limit, fetch);
+}
+
 static machine *choose(mv_core *c, const job *j)
 {
     bool cached_somewhere = false;
@@ -124,7 +148,7 @@
     }
     if (!best)
         return NULL;
-    if (cached_somewhere && !best_cached && c->now < j->ready_at + c->conf->tune.image_wait_s)
+    if (cached_somewhere && !best_cached && c->now < j->ready_at + image_wait(c, j, best))
         return NULL; /* a machine that has the image may get room */
     c->next_turn = best_at + 1;
     return best;
