--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -82,6 +82,7 @@
     double idle_since;
     bool give_back, faulty, lost;
     double no_room_until;
+    double promised_cores, promised_cards, promised_ram; /* within a round, to urgent work */
     GHashTable *failed_jobs;
     /* the leader's view */
     bool listed, listed_failed, listed_booting, releasing;
@@ -174,6 +175,7 @@
     GHashTable *machines; /* id -> machine */
     GPtrArray *turn;      /* machines in turn, by id */
     guint next_turn;
+    double large_cores; /* of the largest task about */
     GHashTable *jobs;
     GArray *types;
     uint64_t types_stamp;
@@ -264,6 +266,12 @@
 /* placement.c */
 void place_round(mv_core *c);
 void note_placed(mv_core *c, machine *m, job *j, placement *p);
+double start_aim(const mv_core *c, const job *j);
+/* preemption.c */
+void coming_room(const mv_core *c, const machine *m, double *cores, double *cards, double *ram);
+bool fits(const job *j, double cores, double cards, double ram);
+void preempt_begin(mv_core *c);
+void preempt_for(mv_core *c, job *j, unsigned limit);
 /* fleet.c */
 void fleet_tick(mv_core *c);
 void fleet_adopt(mv_core *c, const mv_member *m);
--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -52,6 +52,18 @@
     return GUARD(LIMIT, cores_fit && cards_fit);
 }
 
+/* Tasks of the job that its team's limit still allows. */
+static unsigned limit_room(const mv_core *c, const job *j)
+{
+    const mv_team *t = j->team->conf;
+    double cores, cards;
+    if (t->cpus_max <= 0 || j->spec.cores <= 0)
+        return j->waiting->len;
+    unknown_use(c, j->team->shard, &cores, &cards);
+    double room = (t->cpus_max - j->team->used_cores - cores + MV_ROUNDING) / j->spec.cores;
+    return room > 0 ? (unsigned)MIN(room, j->waiting->len) : 0;
+}
+
 /* After a take-over a task known from before may run on a machine that is still silent. */
 static bool perhaps_running(const mv_core *c, const job *j)
 {
@@ -96,14 +108,15 @@
 
 static bool has_room(const mv_core *c, const job *j, const machine *m)
 {
-    double cores, cards, ram;
+    double cores, cards, ram, later_cores, later_cards, later_ram;
     machine_free_room(c, m, &cores, &cards, &ram);
-    return j->spec.cores <= cores + MV_ROUNDING && j->spec.cards <= cards + MV_ROUNDING &&
-           j->spec.ram_gb <= ram + MV_ROUNDING;
+    /* Room that others are being stopped for is not for whoever comes next. */
+    coming_room(c, m, &later_cores, &later_cards, &later_ram);
+    return fits(j, MIN(cores, later_cores), MIN(cards, later_cards), MIN(ram, later_ram));
 }
 
 /* The shortest time within which an aim wants this job's tasks started; G_MAXDOUBLE: none. */
-static double start_aim(const mv_core *c, const job *j)
+double start_aim(const mv_core *c, const job *j)
 {
     double aim = G_MAXDOUBLE;
     for (size_t i = 0; i < c->conf->n_objectives; i++) {
@@ -126,11 +139,32 @@
     return MIN(limit, fetch);
 }
 
+/* What a machine is worth to a task: its image's bytes cached there, then, for a task smaller than
+ * others about, how little room would be left. Strictly in turn, two-core tasks came to sit on every
+ * machine and tasks of a machine's size fitted nowhere, with half of the cores free. */
+typedef struct {
+    double bytes, left;
+} worth;
+
+static worth worth_of(const mv_core *c, const job *j, const machine *m)
+{
+    worth w = {.bytes = has_image(m, j->spec.bundle) ? MAX(j->spec.pull_gb, MV_ROUNDING) : 0};
+    double cards, ram;
+    if (j->spec.cores < c->large_cores)
+        machine_free_room(c, m, &w.left, &cards, &ram);
+    return w;
+}
+
+static bool better(const worth *a, const worth *b)
+{
+    return a->bytes != b->bytes ? a->bytes > b->bytes : a->left < b->left - MV_ROUNDING;
+}
+
 static machine *choose(mv_core *c, const job *j)
 {
     bool cached_somewhere = false;
     machine *best = NULL;
-    bool best_cached = false;
+    worth best_worth = {0};
     guint best_at = 0;
     for (guint k = 0; k < c->turn->len; k++) {
         guint at = (c->next_turn + k) % c->turn->len;
@@ -138,17 +172,17 @@
         if (m->shard != j->team->shard || !usable(c, m) || c->now < m->no_room_until ||
             !allowed_on(c, j, m))
             continue;
-        bool cached = has_image(m, j->spec.bundle);
-        cached_somewhere = cached_somewhere || cached;
-        if ((best && (best_cached || !cached)) || !has_room(c, j, m) || !zone_ok(c, j, m))
+        worth w = worth_of(c, j, m);
+        cached_somewhere = cached_somewhere || w.bytes > 0;
+        if ((best && !better(&w, &best_worth)) || !has_room(c, j, m) || !zone_ok(c, j, m))
             continue;
         best = m;
-        best_cached = cached;
+        best_worth = w;
         best_at = at;
     }
     if (!best)
         return NULL;
-    if (cached_somewhere && !best_cached && c->now < j->ready_at + image_wait(c, j, best))
+    if (cached_somewhere && best_worth.bytes == 0 && c->now < j->ready_at + image_wait(c, j, best))
         return NULL; /* a machine that has the image may get room */
     c->next_turn = best_at + 1;
     return best;
@@ -198,8 +232,10 @@
 {
     g_autofree double *sum = g_new0(double, c->conf->n_teams);
     g_ptr_array_sort(jobs, by_arrival);
+    c->large_cores = 0;
     for (guint i = 0; i < jobs->len; i++) {
         job *j = g_ptr_array_index(jobs, i);
+        c->large_cores = MAX(c->large_cores, j->spec.cores);
         size_t t = (size_t)(j->team - c->teams);
         sum[t] += j->spec.cores * (j->spec.pieces - j->n_done);
         j->guaranteed = j->team->conf->cpus > 0 && sum[t] <= j->team->conf->cpus + MV_ROUNDING;
@@ -236,11 +272,15 @@
         running += j->n_running;
     }
     judge(c, jobs);
+    preempt_begin(c);
     g_ptr_array_sort(jobs, by_claim);
     for (guint i = 0; i < jobs->len; i++) {
         job *j = g_ptr_array_index(jobs, i);
-        if (j->waiting->len && c->now >= j->backoff_until && !perhaps_running(c, j))
-            fill_from(c, j);
+        if (!j->waiting->len || c->now < j->backoff_until || perhaps_running(c, j))
+            continue;
+        fill_from(c, j);
+        if (j->waiting->len)
+            preempt_for(c, j, limit_room(c, j));
     }
     c->counts.waiting = waiting;
     c->counts.running = running;
--- /dev/null
+++ b/src/coordination/preemption.c
@@ -0,0 +1,158 @@
+/* Making room: tasks stopped for work of higher urgency, or to give a team its guarantee. */
+#include "coordination/internal.h"
+
+#include "bookkeeping/log.h"
+
+#include <string.h>
+
+/* PROTOCOL, "Preemption": a higher priority may take room from a lower one; a team's guarantee
+ * from whatever another team runs beyond its own. Nothing else. */
+static bool may_stop(const job *claimant, const job *victim)
+{
+    if (claimant->guaranteed && !victim->guaranteed && claimant->team != victim->team)
+        return true;
+    /* Work within a guarantee keeps its place against urgency alone. */
+    return claimant->spec.urgency < victim->spec.urgency && !victim->guaranteed;
+}
+
+/* The core seconds that stopping it would throw away. */
+static double lost_work(const mv_core *c, const placement *p, const job *j)
+{
+    if (j->spec.mark_every_s > 0 || p->running_at == 0)
+        return 0;
+    return (c->now - p->running_at) * p->cores;
+}
+
+typedef struct {
+    placement *p;
+    double lost;
+} victim;
+
+static gint by_loss(gconstpointer a, gconstpointer b)
+{
+    const victim *x = a, *y = b;
+    double d = x->lost / MAX(x->p->cores, MV_ROUNDING) - y->lost / MAX(y->p->cores, MV_ROUNDING);
+    return d < 0 ? -1 : d > 0;
+}
+
+static GArray *victims_on(const mv_core *c, const job *claimant, const machine *m)
+{
+    GArray *out = g_array_new(FALSE, TRUE, sizeof(victim));
+    for (guint i = 0; i < m->placements->len; i++) {
+        placement *p = g_ptr_array_index(m->placements, i);
+        const job *j = g_hash_table_lookup(c->jobs, p->job);
+        /* A launch that is still under way cannot be stopped for certain. */
+        if (!j || p->stopping || !p->seen || !may_stop(claimant, j))
+            continue;
+        victim v = {.p = p, .lost = lost_work(c, p, j)};
+        g_array_append_val(out, v);
+    }
+    g_array_sort(out, by_loss);
+    return out;
+}
+
+/* Room there will be once all that is told to stop has gone, less what is promised already. */
+void coming_room(const mv_core *c, const machine *m, double *cores, double *cards, double *ram)
+{
+    machine_free_room(c, m, cores, cards, ram);
+    *cores -= m->promised_cores;
+    *cards -= m->promised_cards;
+    *ram -= m->promised_ram;
+    for (guint i = 0; i < m->placements->len; i++) {
+        const placement *p = g_ptr_array_index(m->placements, i);
+        if (!p->stopping)
+            continue;
+        *cores += p->cores;
+        *cards += p->cards;
+        *ram += p->ram_gb;
+    }
+}
+
+bool fits(const job *j, double cores, double cards, double ram)
+{
+    return j->spec.cores <= cores + MV_ROUNDING && j->spec.cards <= cards + MV_ROUNDING &&
+           j->spec.ram_gb <= ram + MV_ROUNDING;
+}
+
+/* How many of the cheapest victims there are needed, and what they lose; -1: not enough. */
+static int price_of(const mv_core *c, const job *j, const machine *m, const GArray *victims,
+                    double *lost)
+{
+    double cores, cards, ram;
+    coming_room(c, m, &cores, &cards, &ram);
+    *lost = 0;
+    for (guint n = 0;; n++) {
+        if (fits(j, cores, cards, ram))
+            return (int)n;
+        if (n == victims->len)
+            return -1;
+        const victim *v = &g_array_index(victims, victim, n);
+        cores += v->p->cores;
+        cards += v->p->cards;
+        ram += v->p->ram_gb;
+        *lost += v->lost;
+    }
+}
+
+static machine *cheapest(mv_core *c, const job *j, int *count)
+{
+    machine *best = NULL;
+    double best_lost = 0;
+    for (guint i = 0; i < c->turn->len; i++) {
+        machine *m = g_ptr_array_index(c->turn, i);
+        if (m->shard != j->team->shard || !usable(c, m) || !allowed_on(c, j, m))
+            continue;
+        double lost;
+        g_autoptr(GArray) victims = victims_on(c, j, m);
+        int n = price_of(c, j, m, victims, &lost);
+        if (n < 0 || (best && lost >= best_lost))
+            continue;
+        best = m;
+        best_lost = lost;
+        *count = n;
+    }
+    return best;
+}
+
+static void stop_victims(mv_core *c, const job *j, machine *m, int count)
+{
+    g_autoptr(GArray) victims = victims_on(c, j, m);
+    for (int i = 0; i < count; i++) {
+        const victim *v = &g_array_index(victims, victim, (guint)i);
+        v->p->stopping = true;
+        m->wants_command = true;
+        c->counts.preempted++;
+        mv_debug("preempt", "piece=%s/%u machine=%s for=%s lost=%.0f", v->p->job, v->p->piece,
+                 m->id, j->spec.id, v->lost);
+    }
+}
+
+/* Only work that is to start within seconds is worth the work it costs others. */
+static bool worth_it(const mv_core *c, const job *j)
+{
+    return j->guaranteed || start_aim(c, j) < MV_SOON_S;
+}
+
+void preempt_for(mv_core *c, job *j, unsigned limit)
+{
+    unsigned wanted = MIN(j->waiting->len, limit);
+    for (unsigned i = 0; worth_it(c, j) && i < wanted; i++) {
+        int count = 0;
+        machine *m = cheapest(c, j, &count);
+        if (!m)
+            return;
+        if (count)
+            stop_victims(c, j, m, count);
+        m->promised_cores += j->spec.cores;
+        m->promised_cards += j->spec.cards;
+        m->promised_ram += j->spec.ram_gb;
+    }
+}
+
+void preempt_begin(mv_core *c)
+{
+    for (guint i = 0; i < c->turn->len; i++) {
+        machine *m = g_ptr_array_index(c->turn, i);
+        m->promised_cores = m->promised_cards = m->promised_ram = 0;
+    }
+}
