--- a/src/constants.h
+++ b/src/constants.h
@@ -62,7 +62,8 @@
 #define MV_TYPES_EVERY_S 60.0     /* reading types and prices */
 #define MV_REFUSED_PAUSE_S 12.0   /* no new try of a type and kind that had no capacity */
 #define MV_BOOT_FACTOR 3.0        /* boots slower than this many times ready_s are given up */
-#define MV_IDLE_RETURN_S 25.0     /* an idle machine is kept this long */
+#define MV_IDLE_RETURN_S 60.0     /* the cheapest kind of machine is kept idle this long */
+#define MV_IDLE_LEAST_S 10.0      /* and the dearest at least this long */
 #define MV_MIN_CHARGE_S 60.0      /* PROTOCOL: a machine costs at least this */
 #define MV_ADOPT_AGE_S 20.0       /* a listed machine nobody holds is adopted at this age */
 
--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -75,6 +75,27 @@
     return d;
 }
 
+static double price_per_core(const mv_core *c, const machine *m)
+{
+    const mv_type *t = type_of(c, m);
+    return t && t->cores > 0 ? (m->loaners ? t->market : t->rate) / t->cores : 0;
+}
+
+/* How long an idle machine is kept: the dearer, the shorter. The cheapest of the cloud is kept for
+ * the full time, for it costs little and takes long to boot again. */
+static double idle_time(const mv_core *c, const machine *m)
+{
+    double cheapest = 0, own = price_per_core(c, m);
+    for (guint i = 0; c->types && i < c->types->len; i++) {
+        const mv_type *t = &g_array_index(c->types, mv_type, i);
+        double price = t->cores > 0 ? MIN(t->market, t->rate) / t->cores : 0;
+        if (price > 0 && (cheapest == 0 || price < cheapest))
+            cheapest = price;
+    }
+    double share = own > 0 ? MIN(1, cheapest / own) : 1;
+    return MAX(MV_IDLE_LEAST_S, c->conf->tune.idle_return_s * share);
+}
+
 /* An idle machine is kept for a while; its second minute must at least have begun. */
 static void offer_idle(mv_core *c, shard *s)
 {
@@ -83,7 +104,7 @@
         machine *m = g_ptr_array_index(c->turn, i);
         if (m->shard != s || m->give_back || !m->confirmed || m->placements->len || m->strangers)
             continue;
-        if (c->now - m->idle_since < c->conf->tune.idle_return_s ||
+        if (c->now - m->idle_since < idle_time(c, m) ||
             c->now - m->rented_at < MV_MIN_CHARGE_S)
             continue;
         if (spare > 0) {
