--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -114,7 +114,7 @@
     uint64_t ending_txn;
     double flushed_at;
     unsigned shown_running;
-    bool guaranteed;
+    bool guaranteed, doomed;
     double slack;
 };
 
--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -213,7 +213,20 @@
     return strcmp(x->spec.id, y->spec.id);
 }
 
-/* Guaranteed work first, then urgency, then the least slack before the deadline, then arrival. */
+/* When the job should be over: its own deadline or the aim of its class, whichever is sooner. */
+static double due_at(const mv_core *c, const job *j)
+{
+    double due = j->spec.due_s < 0 ? G_MAXDOUBLE : j->spec.due_s;
+    for (size_t i = 0; i < c->conf->n_objectives; i++) {
+        const mv_objective *o = &c->conf->objectives[i];
+        if (o->kind == MV_OBJ_FINISHED && strcmp(o->lane, j->spec.lane) == 0)
+            due = MIN(due, o->within_s);
+    }
+    return due == G_MAXDOUBLE ? due : j->accepted_at + due;
+}
+
+/* Guaranteed work first, then urgency; then what can still be in time before what cannot, and the
+ * least slack before the most: serving the hopeless first makes the rest hopeless too. */
 static gint by_claim(gconstpointer a, gconstpointer b)
 {
     const job *x = *(job *const *)a, *y = *(job *const *)b;
@@ -221,7 +234,9 @@
         return x->guaranteed ? -1 : 1;
     if (x->spec.urgency != y->spec.urgency)
         return x->spec.urgency < y->spec.urgency ? -1 : 1;
-    if (x->slack != y->slack)
+    if (x->doomed != y->doomed)
+        return x->doomed ? 1 : -1;
+    if (!x->doomed && x->slack != y->slack)
         return x->slack < y->slack ? -1 : 1;
     return by_arrival(a, b);
 }
@@ -239,9 +254,9 @@
         size_t t = (size_t)(j->team - c->teams);
         sum[t] += j->spec.cores * (j->spec.pieces - j->n_done);
         j->guaranteed = j->team->conf->cpus > 0 && sum[t] <= j->team->conf->cpus + MV_ROUNDING;
-        j->slack = j->spec.due_s < 0
-                       ? G_MAXDOUBLE
-                       : j->accepted_at + j->spec.due_s - c->now - job_guess(c, j);
+        double due = due_at(c, j);
+        j->slack = due == G_MAXDOUBLE ? due : due - c->now - job_guess(c, j);
+        j->doomed = j->slack < 0;
     }
 }
 
