--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -236,8 +236,8 @@
         return x->spec.urgency < y->spec.urgency ? -1 : 1;
     if (x->doomed != y->doomed)
         return x->doomed ? 1 : -1;
-    if (!x->doomed && x->slack != y->slack)
-        return x->slack < y->slack ? -1 : 1;
+    if (!x->doomed && x->work != y->work)
+        return x->work < y->work ? -1 : 1;
     return by_arrival(a, b);
 }
 
@@ -257,6 +257,7 @@
         double due = due_at(c, j);
         j->slack = due == G_MAXDOUBLE ? due : due - c->now - job_guess(c, j);
         j->doomed = j->slack < 0;
+        j->work = j->spec.cores * j->waiting->len * job_guess(c, j);
     }
 }
 
