--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -115,7 +115,7 @@
     double flushed_at;
     unsigned shown_running;
     bool guaranteed, doomed;
-    double slack, work;
+    double slack, work, run;
 };
 
 struct team {
--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -238,6 +238,8 @@
         return x->doomed ? 1 : -1;
     if (!x->doomed && x->work != y->work)
         return x->work < y->work ? -1 : 1;
+    if (x->doomed && x->run != y->run)
+        return x->run > y->run ? -1 : 1;
     return by_arrival(a, b);
 }
 
@@ -247,13 +249,6 @@
 {
     g_autofree double *sum = g_new0(double, c->conf->n_teams);
     g_ptr_array_sort(jobs, by_arrival);
-    double total = 0;
-    for (guint i = 0; i < c->turn->len; i++) {
-        machine *m = g_ptr_array_index(c->turn, i);
-        const mv_type *t = type_of(c, m);
-        if (t && usable(c, m))
-            total += t->cores;
-    }
     c->large_cores = 0;
     for (guint i = 0; i < jobs->len; i++) {
         job *j = g_ptr_array_index(jobs, i);
@@ -264,7 +259,8 @@
         double due = due_at(c, j);
         j->slack = due == G_MAXDOUBLE ? due : due - c->now - job_guess(c, j);
         j->doomed = j->slack < 0;
-        j->work = j->slack == G_MAXDOUBLE ? j->slack : MIN(j->slack, 200) + 4.0 * j->spec.cores * j->waiting->len * job_guess(c, j) / MAX(total, 1);
+        j->run = job_guess(c, j);
+        j->work = j->spec.cores * j->waiting->len * job_guess(c, j);
     }
 }
 
