--- a/src/constants.h
+++ b/src/constants.h
@@ -28,6 +28,7 @@
 #define MV_CANCEL_MARGIN_S 5.0    /* kept free below cancel_s - lease_s for stops to arrive */
 #define MV_SHARDS 1               /* blocks of the fleet; 0: one for each controller */
 
+#define MV_RESIGN_S 8.0           /* a new holder gets this long to reach its machines */
 #define MV_REBALANCE_S 10.0       /* pause between moves of shards to controllers that came back */
 #define MV_USED_SLACK 8           /* names of gone machines a record of used ones may carry */
 
@@ -44,8 +45,12 @@
 #define MV_ROUND_PER_TASK_S 0.0002 /* more pause for each waiting task: batches widen with load */
 #define MV_ROUND_MAX_S 0.5        /* longest pause between rounds */
 #define MV_TICK_S 0.1             /* how often time is told to the core */
-#define MV_SILENT_REPORTS 4.0     /* report intervals without a word before a machine is probed */
-#define MV_LOST_REPORTS 5.0       /* report intervals without a word before it is given up */
+#define MV_SILENT_REPORTS 2.0     /* report intervals without a word before nothing more is placed */
+#define MV_PROBE_REPORTS 1.5      /* and before the machine is asked directly */
+#define MV_LOST_REPORTS 2.5       /* and before it is given up, if it did not answer either */
+#define MV_LOST_ANYWAY_REPORTS 12.0 /* given up after this even if nobody at all is heard */
+#define MV_PROBES_FAILED 2        /* direct commands without an answer that make it lost */
+#define MV_HEARD_REPORTS 2.5      /* none heard of within this: it is rather we who are cut off */
 #define MV_REFUSED_START_S 2.0    /* no new launch after a worker refused one: our view is old */
 #define MV_RECALL_SPARE_S 6.0     /* saved tasks are stopped this long before their machine goes */
 #define MV_FLUSH_S 0.7            /* progress records are written at most this often */
--- a/src/coordination/core.h
+++ b/src/coordination/core.h
@@ -42,7 +42,7 @@
 typedef struct {
     char id[MV_NAME_SIZE];
     double idle_s, silent_s, used_cores, used_ram;
-    bool fence, give_back, lost, up;
+    bool fence, give_back, lost, up, leaving;
 } mv_note;
 
 typedef struct {
--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -46,7 +46,7 @@
             g_strlcpy(w.yard, j->spec.yard, sizeof w.yard);
         g_array_append_val(d->wants, w);
     }
-    unsigned up = 0, lost = 0;
+    unsigned heard = 0, silent = 0;
     for (guint i = 0; i < c->turn->len; i++) {
         machine *m = g_ptr_array_index(c->turn, i);
         if (m->shard != s)
@@ -59,7 +59,8 @@
                               c->now > m->sticky_since + MV_FENCE_AFTER_S,
                      .give_back = m->give_back || (m->faulty && !m->placements->len),
                      .lost = m->lost,
-                     .up = m->confirmed};
+                     .up = m->confirmed,
+                     .leaving = m->recall_at > 0 || m->faulty};
         const mv_type *t = type_of(c, m);
         double cores, cards, ram;
         machine_free_room(c, m, &cores, &cards, &ram);
@@ -67,11 +68,12 @@
         n.used_ram = t ? t->ram_gb - ram : 0;
         g_strlcpy(n.id, m->id, sizeof n.id);
         g_array_append_val(d->notes, n);
-        up += m->confirmed && !m->lost;
-        lost += m->lost;
+        heard += c->now - m->heard_at < MV_HEARD_REPORTS * c->conf->report_s;
+        silent += m->command_fails >= MV_PROBES_FAILED;
     }
-    /* Nobody answers us at all: it is rather we who are cut off than every machine. */
-    d->resign = lost > 1 && up == 0;
+    /* Nobody answers us any more: it is rather we who are cut off than every machine that died.
+     * Who never heard one does not pass the block on again, or it would go round for ever. */
+    d->resign = silent > 1 && heard == 0 && s->heard_at > s->taken_at;
     return d;
 }
 
@@ -339,7 +341,7 @@
     for (guint i = 0; i < c->turn->len; i++) {
         machine *m = g_ptr_array_index(c->turn, i);
         const mv_note *n = m->shard ? note_of(m->shard, m->id) : NULL;
-        if (!m->shard || buried(c, m->id) || m->releasing || (n && (n->give_back || n->lost)))
+        if (!m->shard || buried(c, m->id) || m->releasing || (n && (n->give_back || n->lost || n->leaving)))
             continue;
         type_of(c, m);
         add_bin(bins, c, m->type, m->yard, m->loaners, m->shard, n ? n->used_cores : 0,
@@ -584,18 +586,11 @@
     if (c->release_id && c->now < c->release_at + 3.0 * MV_CLOUD_TIMEOUT_MS / 1000)
         return;
     g_autoptr(GPtrArray) hosts = g_ptr_array_new_with_free_func(g_free);
-    unsigned silent = 0, heard = 0;
     for (guint i = 0; i < c->turn->len; i++) {
         machine *m = g_ptr_array_index(c->turn, i);
         const char *why = m->shard && !buried(c, m->id) ? reason_to_release(c, m) : NULL;
-        const mv_note *n = m->shard ? note_of(m->shard, m->id) : NULL;
-        heard += n && n->up && !n->lost;
-        silent += n && n->lost;
         if (!why || hosts->len >= MV_MAX_RELEASE)
             continue;
-        /* All silent at once is a cut of ours more likely than the end of every machine. */
-        if (strcmp(why, "silent") == 0 && heard == 0 && silent > 1)
-            continue;
         mv_info("release", "machine=%s why=%s", m->id, why);
         g_ptr_array_add(hosts, g_strdup(m->id));
     }
--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -75,9 +75,10 @@
     uint64_t command_id; /* 0: none in flight */
     uint64_t command_baton;
     double command_at;
-    bool wants_command;
+    bool wants_command, probe;
     double no_command_until;
-    unsigned command_fails;
+    unsigned command_fails; /* in a row */
+    unsigned proofs;        /* of them, those while other machines were heard */
     /* judgement */
     double idle_since;
     bool give_back, faulty, lost;
@@ -115,7 +116,7 @@
     double flushed_at;
     unsigned shown_running;
     bool guaranteed, doomed;
-    double slack, work, run;
+    double slack, work;
 };
 
 struct team {
@@ -134,6 +135,7 @@
     bool mine;
     double taken_at;
     bool rebuilt;
+    double heard_at; /* of any of its machines */
     uint64_t used_txn;
     double used_txn_at;
     double demand_at; /* last sent */
--- a/src/coordination/machines.c
+++ b/src/coordination/machines.c
@@ -41,7 +41,7 @@
     m->strangers = 0;
     m->confirmed = m->fresh = m->give_back = m->lost = false;
     m->command_id = 0;
-    m->command_fails = 0;
+    m->command_fails = m->proofs = 0;
     m->no_command_until = 0;
     m->wants_command = false;
     m->idle_since = c->now;
@@ -358,6 +358,8 @@
     new_tenure(c, m, r->tenure);
     m->tick = r->tick;
     m->heard_at = m->heard_any_at = c->now;
+    m->command_fails = m->proofs = 0;
+    m->shard->heard_at = c->now;
     m->lost = false;
     g_strlcpy(m->address, r->address, sizeof m->address);
     m->recall_at = r->recall_s >= 0 ? c->now + r->recall_s : 0;
@@ -485,10 +487,11 @@
             continue;
         m->wants_command = false;
         GArray *orders = urgent_orders(c, m);
-        if (orders->len || !m->confirmed)
+        if (orders->len || !m->confirmed || m->probe)
             command(c, m, orders);
         else
             g_array_unref(orders);
+        m->probe = false;
     }
 }
 
@@ -506,6 +509,10 @@
 static void command_unanswered(mv_core *c, machine *m)
 {
     m->command_fails++;
+    /* Only while others are heard does silence speak of the machine rather than of our own line:
+     * counted during a cut, it had working machines given back as the cut ended. */
+    if (m->shard && m->shard->heard_at > m->command_at)
+        m->proofs++;
     if (g_hash_table_size(m->sticky) == 0)
         m->sticky_since = c->now;
     m->no_command_until = c->now + MIN(0.5 * m->command_fails, c->conf->report_s);
@@ -556,10 +563,13 @@
     /* After a take-over ask at once rather than wait for the worker to find us. */
     if (!m->confirmed && m->address[0] && (m->heard_any_at || may_hold_tasks(m)))
         m->wants_command = true;
-    if (m->heard_at && quiet > MV_SILENT_REPORTS * interval && m->address[0])
-        m->wants_command = !m->confirmed || m->wants_command;
     bool expected = m->heard_at > 0 || may_hold_tasks(m);
-    bool lost = expected && quiet > MV_LOST_REPORTS * interval;
+    /* A report may be lost and its repetition go to a sibling first: ask before judging. */
+    if (expected && quiet > MV_PROBE_REPORTS * interval && m->address[0])
+        m->wants_command = m->probe = true;
+    bool no_answer = m->proofs >= MV_PROBES_FAILED || !m->address[0];
+    bool lost = expected && ((no_answer && quiet > MV_LOST_REPORTS * interval) ||
+                             quiet > MV_LOST_ANYWAY_REPORTS * interval);
     if (lost && !m->lost)
         mv_info("machine_silent", "machine=%s quiet_s=%.1f pieces=%u", m->id, quiet,
                 m->placements->len);
--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -213,7 +213,7 @@
 
 /* The live controller with the fewest shards; the leader itself on a tie, for then the fleet and
  * the placement need no messages. `extra` counts shards given in the same transaction. */
-static const node_entry *least_loaded(const mv_core *c, GHashTable *extra)
+static const node_entry *least_loaded(const mv_core *c, GHashTable *extra, const char *not_this)
 {
     const node_entry *best = NULL;
     unsigned best_load = 0;
@@ -222,6 +222,8 @@
     g_hash_table_iter_init(&it, c->nodes);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const node_entry *n = v;
+        if (not_this && strcmp(n->node, not_this) == 0)
+            continue;
         unsigned load =
             load_of(c, n->node) + GPOINTER_TO_UINT(g_hash_table_lookup(extra, n->node));
         bool me = strcmp(n->node, c->conf->node_name) == 0;
@@ -282,7 +284,7 @@
     if (c->now < c->rebalanced_at + MV_REBALANCE_S)
         return -1;
     g_autoptr(GHashTable) none = g_hash_table_new(g_str_hash, g_str_equal);
-    const node_entry *low = least_loaded(c, none);
+    const node_entry *low = least_loaded(c, none, NULL);
     if (!low)
         return -1;
     unsigned least = load_of(c, low->node);
@@ -297,6 +299,13 @@
     return -1;
 }
 
+/* Its holder reaches the state service but no machine: another may. */
+static bool resigned(const mv_core *c, const shard *s)
+{
+    return s->demand && s->demand->resign && s->demand_got_at > s->taken_at + MV_RESIGN_S &&
+           c->now < s->demand_got_at + MV_DEMAND_OLD_S;
+}
+
 /* One transaction grants every shard that has no live holder, each under a new term. */
 static void grant(mv_core *c)
 {
@@ -315,11 +324,13 @@
         shard *s = shard_get(c, i);
         holders[i] = s->holder;
         holders[i].teams = copy_teams(s->holder.teams);
-        bool dead = !s->stamp || !live(c, &s->holder) ||
-                    (s->demand && s->demand->resign && s->demand_got_at > s->taken_at);
-        if (!dead && (int)i != moved)
+        bool dead = !s->stamp || !live(c, &s->holder);
+        const node_entry *to = dead             ? least_loaded(c, extra, NULL)
+                               : resigned(c, s) ? least_loaded(c, extra, s->holder.node)
+                               : (int)i == moved ? moved_to
+                                                 : NULL;
+        if (!to)
             continue;
-        const node_entry *to = dead ? least_loaded(c, extra) : moved_to;
         g_hash_table_insert(
             extra, (gpointer)to->node,
             GUINT_TO_POINTER(GPOINTER_TO_UINT(g_hash_table_lookup(extra, to->node)) + 1));
--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -238,8 +238,6 @@
         return x->doomed ? 1 : -1;
     if (!x->doomed && x->work != y->work)
         return x->work < y->work ? -1 : 1;
-    if (x->doomed && x->run != y->run)
-        return x->run > y->run ? -1 : 1;
     return by_arrival(a, b);
 }
 
@@ -259,7 +257,6 @@
         double due = due_at(c, j);
         j->slack = due == G_MAXDOUBLE ? due : due - c->now - job_guess(c, j);
         j->doomed = j->slack < 0;
-        j->run = job_guess(c, j);
         j->work = j->spec.cores * j->waiting->len * job_guess(c, j);
     }
 }
--- a/src/service/daemon.c
+++ b/src/service/daemon.c
@@ -450,6 +450,7 @@
         notes[i].give_back = n->give_back;
         notes[i].lost = n->lost;
         notes[i].up = n->up;
+        notes[i].leaving = n->leaving;
         note_list[i] = &notes[i];
     }
     pb.node = (char *)d->node;
@@ -499,7 +500,8 @@
                      .fence = p->fence,
                      .give_back = p->give_back,
                      .lost = p->lost,
-                     .up = p->up};
+                     .up = p->up,
+                     .leaving = p->leaving};
         g_strlcpy(n.id, p->id, sizeof n.id);
         g_array_append_val(d->notes, n);
     }
--- a/tests/test_rules.c
+++ b/tests/test_rules.c
@@ -67,6 +67,14 @@
     expect_sound(&plan, 61, 6);
 }
 
+static void cut_from_workers(void)
+{
+    sim_plan plan = CALM;
+    plan.worker_cut = 15;
+    plan.settle = 400;
+    expect_sound(&plan, 71, 6);
+}
+
 static void late_messages(void)
 {
     sim_plan plan = CALM;
@@ -129,6 +137,7 @@
     g_test_add_func("/rules/rough", rough);
     g_test_add_func("/rules/rough-three-shards", rough_three_shards);
     g_test_add_func("/rules/crashes", crashes_only);
+    g_test_add_func("/rules/cut-from-workers", cut_from_workers);
     g_test_add_func("/rules/late-messages", late_messages);
     g_test_add_func("/guards/rebuild", guard_rebuild);
     g_test_add_func("/guards/unknown-use", guard_unknown);
