--- a/src/constants.h
+++ b/src/constants.h
@@ -20,10 +20,10 @@
 #define MV_CHUNK_TASKS 16384      /* tasks in one progress record: 4 KiB of hex digits */
 
 /* --- membership, seconds --- */
-#define MV_SESSION_TTL_S 4.0      /* a silent controller is replaced after this; three lost renewals */
-#define MV_SESSION_RENEW_S 1.2    /* a third of the above, less one slow answer */
-#define MV_SESSION_RETRY_S 0.4    /* after a renewal or a watch that failed */
-#define MV_SESSION_MARGIN_S 0.4   /* taken off our own view of the session: drift, rounding */
+#define MV_SESSION_TTL_S 2.5      /* a silent controller is replaced after this; three lost renewals */
+#define MV_SESSION_RENEW_S 0.7    /* a third of the above, less one slow answer */
+#define MV_SESSION_RETRY_S 0.3    /* after a renewal or a watch that failed */
+#define MV_SESSION_MARGIN_S 0.3   /* taken off our own view of the session: drift, rounding */
 #define MV_BLOCK_LEASE_S 30.0     /* DESIGN: block lease; shortened when cancel_s asks for it */
 #define MV_CANCEL_MARGIN_S 5.0    /* kept free below cancel_s - lease_s for stops to arrive */
 #define MV_SHARDS 1               /* blocks of the fleet; 0: one for each controller */
@@ -79,7 +79,7 @@
 #define MV_CLOUD_THREADS 2             /* cloud calls in flight: one may hang */
 #define MV_COMMAND_TIMEOUT_MS 1500     /* a direct command without an answer */
 #define MV_STATE_TIMEOUT_MS 1500       /* a request to the state service without an answer */
-#define MV_SESSION_TIMEOUT_MS 1000     /* a renewal without an answer is sent again */
+#define MV_SESSION_TIMEOUT_MS 700     /* a renewal without an answer is sent again */
 #define MV_STATE_TRIES 4               /* tries of a request that was over the limit */
 #define MV_STATE_PAUSE_MS 120          /* first pause after such a refusal */
 #define MV_CLOUD_TIMEOUT_MS 5000       /* a cloud call without an answer */
