--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -115,7 +115,7 @@
     uint64_t ending_txn;
     double flushed_at;
     unsigned shown_running;
-    bool guaranteed, doomed;
+    bool guaranteed, doomed, counted;
     double slack, work;
 };
 
@@ -123,6 +123,8 @@
     const mv_team *conf;
     shard *shard;
     double used_cores, used_cards; /* placements */
+    double soon_used, soon_size;   /* by work that must start soon: now, and a usual job */
+    double stopping_cores, promised_cores; /* within a round */
 };
 
 struct shard {
@@ -267,13 +269,15 @@
 uint32_t type_mask(const mv_core *c, const mv_job *spec);
 /* placement.c */
 void place_round(mv_core *c);
+double unknown_cores(const mv_core *c, const shard *s);
 void note_placed(mv_core *c, machine *m, job *j, placement *p);
 double start_aim(const mv_core *c, const job *j);
 /* preemption.c */
 void coming_room(const mv_core *c, const machine *m, double *cores, double *cards, double *ram);
 bool fits(const job *j, double cores, double cards, double ram);
 void preempt_begin(mv_core *c);
-void preempt_for(mv_core *c, job *j, unsigned limit);
+void preempt_for(mv_core *c, job *j);
+bool starts_soon(const mv_core *c, const job *j);
 /* fleet.c */
 void fleet_tick(mv_core *c);
 void fleet_adopt(mv_core *c, const mv_member *m);
--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -22,6 +22,17 @@
     j->n_placed++;
 }
 
+/* Whether the class of the job has an aim for its start, not just its team's guarantee. */
+static bool rush(const mv_core *c, const job *j)
+{
+    for (size_t i = 0; i < c->conf->n_objectives; i++) {
+        const mv_objective *o = &c->conf->objectives[i];
+        if (o->kind == MV_OBJ_WAIT && strcmp(o->lane, j->spec.lane) == 0)
+            return true;
+    }
+    return false;
+}
+
 /* --- limits --- */
 
 /* Tasks of a predecessor on machines not yet heard of count at the most they can be. */
@@ -38,6 +49,24 @@
     }
 }
 
+double unknown_cores(const mv_core *c, const shard *s)
+{
+    double cores, cards;
+    unknown_use(c, s, &cores, &cards);
+    return cores;
+}
+
+/* Work that must start soon finds room within its team's limit: the team's other work leaves some,
+ * as much as such jobs lately took. A full limit was what most rush work waited for. */
+static double kept_free(const mv_core *c, const job *j)
+{
+    const team *t = j->team;
+    if (rush(c, j))
+        return 0;
+    double keep = MIN(t->soon_size, MV_KEEP_SHARE * t->conf->cpus_max);
+    return MAX(0, keep - t->soon_used);
+}
+
 static bool within_limit(const mv_core *c, const job *j)
 {
     const mv_team *t = j->team->conf;
@@ -46,24 +75,13 @@
         return true;
     unknown_use(c, j->team->shard, &cores, &cards);
     bool cores_fit = t->cpus_max <= 0 ||
-                     j->team->used_cores + cores + j->spec.cores <= t->cpus_max + MV_ROUNDING;
+                     j->team->used_cores + cores + j->spec.cores + kept_free(c, j) <=
+                         t->cpus_max + MV_ROUNDING;
     bool cards_fit = t->gpus_max <= 0 ||
                      j->team->used_cards + cards + j->spec.cards <= t->gpus_max + MV_ROUNDING;
     return GUARD(LIMIT, cores_fit && cards_fit);
 }
 
-/* Tasks of the job that its team's limit still allows. */
-static unsigned limit_room(const mv_core *c, const job *j)
-{
-    const mv_team *t = j->team->conf;
-    double cores, cards;
-    if (t->cpus_max <= 0 || j->spec.cores <= 0)
-        return j->waiting->len;
-    unknown_use(c, j->team->shard, &cores, &cards);
-    double room = (t->cpus_max - j->team->used_cores - cores + MV_ROUNDING) / j->spec.cores;
-    return room > 0 ? (unsigned)MIN(room, j->waiting->len) : 0;
-}
-
 /* After a take-over a task known from before may run on a machine that is still silent. */
 static bool perhaps_running(const mv_core *c, const job *j)
 {
@@ -197,6 +215,8 @@
     /* The term makes attempts of successive owners differ, the counter those of one owner. */
     p->attempt = (token(m) << MV_ATTEMPT_BITS) | (++c->attempts & ((1u << MV_ATTEMPT_BITS) - 1));
     note_placed(c, m, j, p);
+    if (rush(c, j))
+        j->team->soon_used += p->cores;
     m->wants_command = true;
     c->counts.placed++;
     mv_debug("place", "piece=%s/%u machine=%s waited_s=%.2f cached=%d", j->spec.id, p->piece,
@@ -241,6 +261,18 @@
     return by_arrival(a, b);
 }
 
+/* What a team's work that must start soon uses now, and how much such a job usually asks. */
+static void note_soon(const mv_core *c, job *j)
+{
+    if (!rush(c, j))
+        return;
+    j->team->soon_used += j->n_placed * j->spec.cores;
+    if (!j->counted)
+        j->team->soon_size +=
+            MV_SOON_SMOOTH * (j->spec.cores * j->spec.pieces - j->team->soon_size);
+    j->counted = true;
+}
+
 /* A job is guaranteed when it fits its team's share along with the team's earlier unfinished
  * jobs. */
 static void judge(mv_core *c, GPtrArray *jobs)
@@ -248,6 +280,8 @@
     g_autofree double *sum = g_new0(double, c->conf->n_teams);
     g_ptr_array_sort(jobs, by_arrival);
     c->large_cores = 0;
+    for (size_t i = 0; i < c->conf->n_teams; i++)
+        c->teams[i].soon_used = 0;
     for (guint i = 0; i < jobs->len; i++) {
         job *j = g_ptr_array_index(jobs, i);
         c->large_cores = MAX(c->large_cores, j->spec.cores);
@@ -257,6 +291,7 @@
         double due = due_at(c, j);
         j->slack = due == G_MAXDOUBLE ? due : due - c->now - job_guess(c, j);
         j->doomed = j->slack < 0;
+        note_soon(c, j);
         j->work = j->spec.cores * j->waiting->len * job_guess(c, j);
     }
 }
@@ -296,7 +331,7 @@
             continue;
         fill_from(c, j);
         if (j->waiting->len)
-            preempt_for(c, j, limit_room(c, j));
+            preempt_for(c, j);
     }
     c->counts.waiting = waiting;
     c->counts.running = running;
--- a/src/coordination/preemption.c
+++ b/src/coordination/preemption.c
@@ -120,6 +120,7 @@
     for (int i = 0; i < count; i++) {
         const victim *v = &g_array_index(victims, victim, (guint)i);
         v->p->stopping = true;
+        v->p->team->stopping_cores += v->p->cores;
         m->wants_command = true;
         c->counts.preempted++;
         mv_debug("preempt", "piece=%s/%u machine=%s for=%s lost=%.0f", v->p->job, v->p->piece,
@@ -128,31 +129,93 @@
 }
 
 /* Only work that is to start within seconds is worth the work it costs others. */
-static bool worth_it(const mv_core *c, const job *j)
+bool starts_soon(const mv_core *c, const job *j)
 {
-    return j->guaranteed || start_aim(c, j) < MV_SOON_S;
+    return start_aim(c, j) < MV_SOON_S;
 }
 
-void preempt_for(mv_core *c, job *j, unsigned limit)
+static void promise(machine *m, const job *j)
 {
-    unsigned wanted = MIN(j->waiting->len, limit);
-    for (unsigned i = 0; worth_it(c, j) && i < wanted; i++) {
+    m->promised_cores += j->spec.cores;
+    m->promised_cards += j->spec.cards;
+    m->promised_ram += j->spec.ram_gb;
+    j->team->promised_cores += j->spec.cores;
+}
+
+/* Whether the team's limit, not the machines, stands in the way, even once all that is told to stop
+ * has gone. */
+static bool limit_short(const mv_core *c, const job *j)
+{
+    const team *t = j->team;
+    double coming = t->used_cores - t->stopping_cores + t->promised_cores;
+    return t->conf->cpus_max > 0 &&
+           coming + unknown_cores(c, t->shard) + j->spec.cores > t->conf->cpus_max + MV_ROUNDING;
+}
+
+/* Room within the limit: the team's own work of lower urgency that loses least gives way. */
+static bool stop_own(mv_core *c, const job *j)
+{
+    machine *best = NULL;
+    placement *which = NULL;
+    double best_lost = 0;
+    for (guint i = 0; i < c->turn->len; i++) {
+        machine *m = g_ptr_array_index(c->turn, i);
+        if (m->shard != j->team->shard || !usable(c, m) || !allowed_on(c, j, m))
+            continue;
+        for (guint k = 0; k < m->placements->len; k++) {
+            placement *p = g_ptr_array_index(m->placements, k);
+            const job *other = g_hash_table_lookup(c->jobs, p->job);
+            if (!other || p->team != j->team || p->stopping || !p->seen ||
+                p->cores < j->spec.cores || other->spec.urgency <= j->spec.urgency)
+                continue;
+            double lost = lost_work(c, p, other);
+            if (which && lost >= best_lost)
+                continue;
+            best = m;
+            which = p;
+            best_lost = lost;
+        }
+    }
+    if (!which)
+        return false;
+    which->stopping = true;
+    which->team->stopping_cores += which->cores;
+    best->wants_command = true;
+    c->counts.preempted++;
+    promise(best, j);
+    mv_debug("preempt_own", "piece=%s/%u machine=%s for=%s lost=%.0f", which->job, which->piece,
+             best->id, j->spec.id, best_lost);
+    return true;
+}
+
+void preempt_for(mv_core *c, job *j)
+{
+    for (unsigned i = 0; starts_soon(c, j) && i < j->waiting->len; i++) {
         int count = 0;
+        if (limit_short(c, j)) {
+            if (!stop_own(c, j))
+                return;
+            continue;
+        }
         machine *m = cheapest(c, j, &count);
         if (!m)
             return;
         if (count)
             stop_victims(c, j, m, count);
-        m->promised_cores += j->spec.cores;
-        m->promised_cards += j->spec.cards;
-        m->promised_ram += j->spec.ram_gb;
+        promise(m, j);
     }
 }
 
 void preempt_begin(mv_core *c)
 {
+    for (size_t i = 0; i < c->conf->n_teams; i++)
+        c->teams[i].stopping_cores = c->teams[i].promised_cores = 0;
     for (guint i = 0; i < c->turn->len; i++) {
         machine *m = g_ptr_array_index(c->turn, i);
         m->promised_cores = m->promised_cards = m->promised_ram = 0;
+        for (guint k = 0; k < m->placements->len; k++) {
+            const placement *p = g_ptr_array_index(m->placements, k);
+            p->team->stopping_cores += p->stopping ? p->cores : 0;
+        }
     }
 }
