--- a/src/constants.h
+++ b/src/constants.h
@@ -38,7 +38,9 @@
 #define MV_ATTEMPT_BITS 24        /* low bits of an attempt: placements within one term */
 #define MV_START_SHARE 0.1        /* of a start aim that may go on waiting for an image */
 #define MV_KEEP_SHARE 0.2         /* of a team's limit, at most, is kept free for such work */
+#define MV_FETCH_STEP_S 0.5       /* differences in fetch time that matter */
 #define MV_SOON_SMOOTH 0.2        /* weight of the latest such job in the usual size */
+#define MV_FETCH_STEP_S 0.5       /* differences in fetch time that matter */
 #define MV_SOON_S 20.0            /* start aims below this justify stopping other work */
 #define MV_RETRY_BASE_S 1.0       /* first pause after a task failed; doubles */
 #define MV_RETRY_MAX_S 30.0       /* longest pause: a job that fails everywhere costs little */
--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -271,6 +271,7 @@
 void place_round(mv_core *c);
 double unknown_cores(const mv_core *c, const shard *s);
 void note_placed(mv_core *c, machine *m, job *j, placement *p);
+double fetch_left(const mv_core *c, const job *j, const machine *m);
 double start_aim(const mv_core *c, const job *j);
 /* preemption.c */
 void coming_room(const mv_core *c, const machine *m, double *cores, double *cards, double *ram);
--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -4,6 +4,7 @@
 
 #include "bookkeeping/log.h"
 
+#include <math.h>
 #include <string.h>
 
 void note_placed(mv_core *c, machine *m, job *j, placement *p)
@@ -157,16 +158,34 @@
     return MIN(limit, fetch);
 }
 
-/* What a machine is worth to a task: its image's bytes cached there, then, for a task smaller than
- * others about, how little room would be left. Strictly in turn, two-core tasks came to sit on every
+/* What a machine is worth to a task: its image's bytes cached there, then, for work that must start
+ * soon, how quickly it could be fetched, then, for a task smaller than others about, how little room
+ * would be left. Strictly in turn, two-core tasks came to sit on every
  * machine and tasks of a machine's size fitted nowhere, with half of the cores free. */
 typedef struct {
-    double bytes, left;
+    double bytes, fetch, left;
 } worth;
 
+/* Seconds until the image would be there; a fetch that is under way for another task counts. */
+double fetch_left(const mv_core *c, const job *j, const machine *m)
+{
+    const mv_type *t = type_of(c, m);
+    if (has_image(m, j->spec.bundle) || !t || t->pull_rate <= 0)
+        return 0;
+    double left = j->spec.pull_gb / t->pull_rate;
+    for (guint i = 0; i < m->placements->len; i++) {
+        const placement *p = g_ptr_array_index(m->placements, i);
+        const job *other = g_hash_table_lookup(c->jobs, p->job);
+        if (other && p->running_at == 0 && strcmp(other->spec.bundle, j->spec.bundle) == 0)
+            left = MIN(left, MAX(0, left - (c->now - p->placed_at)));
+    }
+    return left;
+}
+
 static worth worth_of(const mv_core *c, const job *j, const machine *m)
 {
     worth w = {.bytes = has_image(m, j->spec.bundle) ? MAX(j->spec.pull_gb, MV_ROUNDING) : 0};
+    w.fetch = starts_soon(c, j) ? fetch_left(c, j, m) : 0;
     double cards, ram;
     if (j->spec.cores < c->large_cores)
         machine_free_room(c, m, &w.left, &cards, &ram);
@@ -175,7 +194,11 @@
 
 static bool better(const worth *a, const worth *b)
 {
-    return a->bytes != b->bytes ? a->bytes > b->bytes : a->left < b->left - MV_ROUNDING;
+    if (a->bytes != b->bytes)
+        return a->bytes > b->bytes;
+    if (fabs(a->fetch - b->fetch) > MV_FETCH_STEP_S)
+        return a->fetch < b->fetch;
+    return a->left < b->left - MV_ROUNDING;
 }
 
 static machine *choose(mv_core *c, const job *j)
--- a/src/coordination/preemption.c
+++ b/src/coordination/preemption.c
@@ -105,6 +105,9 @@
         double lost;
         g_autoptr(GArray) victims = victims_on(c, j, m);
         int n = price_of(c, j, m, victims, &lost);
+        /* Where the image takes longer to come than the aim allows, the room is worth less. */
+        double fetch = fetch_left(c, j, m);
+        lost += fetch > start_aim(c, j) ? fetch * j->spec.cores : 0;
         if (n < 0 || (best && lost >= best_lost))
             continue;
         best = m;
