A holder that reaches no machine neither gives them back nor keeps them

Machines a predecessor used count as booted; the block goes on to the next controller until each has tried.

--- a/src/coordination/core.h
+++ b/src/coordination/core.h
@@ -42,7 +42,9 @@
 typedef struct {
     char id[MV_NAME_SIZE];
     double idle_s, silent_s, used_cores, used_ram;
-    bool fence, give_back, lost, up, leaving;
+    bool fence, give_back, lost, leaving;
+    bool up;    /* it has booted: heard of, or used by a holder before */
+    bool heard; /* by this holder, just now */
 } mv_note;
 
 typedef struct {
--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -59,7 +59,10 @@
                               c->now > m->sticky_since + MV_FENCE_AFTER_S,
                      .give_back = m->give_back || (m->faulty && !m->placements->len),
                      .lost = m->lost,
-                     .up = m->confirmed,
+                     /* A holder that reaches no machine once took those that its predecessor
+                      * had used for machines that never booted. */
+                     .up = m->confirmed || may_hold_tasks(m),
+                     .heard = c->now - m->heard_at < MV_HEARD_REPORTS * c->conf->report_s,
                      .leaving = m->recall_at > 0 || m->faulty};
         const mv_type *t = type_of(c, m);
         double cores, cards, ram;
@@ -68,12 +71,11 @@
         n.used_ram = t ? t->ram_gb - ram : 0;
         g_strlcpy(n.id, m->id, sizeof n.id);
         g_array_append_val(d->notes, n);
-        heard += c->now - m->heard_at < MV_HEARD_REPORTS * c->conf->report_s;
+        heard += n.heard;
         silent += m->command_fails >= MV_PROBES_FAILED;
     }
-    /* Nobody answers us any more: it is rather we who are cut off than every machine that died.
-     * Who never heard one does not pass the block on again, or it would go round for ever. */
-    d->resign = silent > 1 && heard == 0 && s->heard_at > s->taken_at;
+    /* Nobody answers us: it is rather we who are cut off than every machine that died. */
+    d->resign = silent > 1 && heard == 0;
     return d;
 }
 
@@ -117,6 +119,16 @@
     }
 }
 
+static void take_demand(const mv_core *c, shard *s, mv_demand *d)
+{
+    for (guint i = 0; i < d->notes->len; i++)
+        if (g_array_index(d->notes, mv_note, i).heard)
+            s->passed_on = 0;
+    mv_demand_free(s->demand);
+    s->demand = d;
+    s->demand_got_at = c->now;
+}
+
 static void tell_demand(mv_core *c)
 {
     for (guint i = 0; i < c->shards->len; i++) {
@@ -127,9 +139,7 @@
         offer_idle(c, s);
         mv_demand *d = own_demand(c, s);
         if (leads(c)) {
-            mv_demand_free(s->demand);
-            s->demand = d;
-            s->demand_got_at = c->now;
+            take_demand(c, s, d);
         } else if (c->leader_stamp) {
             mv_action *a = act(c, MV_ACT_DEMAND);
             a->demand = d;
@@ -149,9 +159,7 @@
         mv_demand_free(d);
         return;
     }
-    mv_demand_free(s->demand);
-    s->demand = d;
-    s->demand_got_at = c->now;
+    take_demand(c, s, d);
 }
 
 /* --- the leader's books --- */
--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -147,6 +147,7 @@
     GArray *adds; /* mv_member */
     mv_demand *demand;
     double demand_got_at;
+    unsigned passed_on; /* times in a row that its holder reached no machine */
 };
 
 typedef struct {
--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -299,10 +299,11 @@
     return -1;
 }
 
-/* Its holder reaches the state service but no machine: another may. */
+/* Its holder reaches the state service but no machine: another may. Once all have tried it is the
+ * machines that are silent, and going round would only keep that from being noticed. */
 static bool resigned(const mv_core *c, const shard *s)
 {
-    return s->demand && s->demand->resign && s->demand_got_at > s->taken_at + MV_RESIGN_S &&
+    return s->passed_on + 1 < g_hash_table_size(c->nodes) && s->demand && s->demand->resign && s->demand_got_at > s->taken_at + MV_RESIGN_S &&
            c->now < s->demand_got_at + MV_DEMAND_OLD_S;
 }
 
@@ -331,6 +332,7 @@
                                                  : NULL;
         if (!to)
             continue;
+        s->passed_on += !dead && (int)i != moved;
         g_hash_table_insert(
             extra, (gpointer)to->node,
             GUINT_TO_POINTER(GPOINTER_TO_UINT(g_hash_table_lookup(extra, to->node)) + 1));
--- a/src/service/daemon.c
+++ b/src/service/daemon.c
@@ -451,6 +451,7 @@
         notes[i].lost = n->lost;
         notes[i].up = n->up;
         notes[i].leaving = n->leaving;
+        notes[i].heard = n->heard;
         note_list[i] = &notes[i];
     }
     pb.node = (char *)d->node;
@@ -501,7 +502,8 @@
                      .give_back = p->give_back,
                      .lost = p->lost,
                      .up = p->up,
-                     .leaving = p->leaving};
+                     .leaving = p->leaving,
+                     .heard = p->heard};
         g_strlcpy(n.id, p->id, sizeof n.id);
         g_array_append_val(d->notes, n);
     }
