--- a/src/coordination/machines.c
+++ b/src/coordination/machines.c
@@ -568,7 +568,10 @@
     if (expected && quiet > MV_PROBE_REPORTS * interval && m->address[0])
         m->wants_command = m->probe = true;
     bool no_answer = m->proofs >= MV_PROBES_FAILED || !m->address[0];
-    bool lost = expected && ((no_answer && quiet > MV_LOST_REPORTS * interval) ||
+    /* After a take-over every machine is asked at once and all tasks known from before wait for
+     * the last answer: one more question instead of the wait for reports. */
+    bool no_trace = !m->confirmed && m->proofs > MV_PROBES_FAILED;
+    bool lost = expected && ((no_answer && quiet > MV_LOST_REPORTS * interval) || no_trace ||
                              quiet > MV_LOST_ANYWAY_REPORTS * interval);
     if (lost && !m->lost)
         mv_info("machine_silent", "machine=%s quiet_s=%.1f pieces=%u", m->id, quiet,
