--- a/src/constants.h
+++ b/src/constants.h
@@ -48,6 +48,10 @@
 #define MV_ROUND_S 0.02           /* least pause between rounds of placement */
 #define MV_ROUND_PER_TASK_S 0.0002 /* more pause for each waiting task: batches widen with load */
 #define MV_ROUND_MAX_S 0.5        /* longest pause between rounds */
+#define MV_SLOW_PACE 1.5          /* times what others take for the same job: used last */
+#define MV_PACE_PEERS 3           /* completed tasks of a job that make a measure */
+#define MV_PACE_SMOOTH 0.3        /* weight of the latest task in a machine's pace */
+#define MV_PACE_FADE 0.0025       /* per tick: half forgotten in about 30 s */
 #define MV_TICK_S 0.1             /* how often time is told to the core */
 #define MV_SILENT_REPORTS 2.0     /* report intervals without a word before nothing more is placed */
 #define MV_PROBE_REPORTS 1.5      /* and before the machine is asked directly */
--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -83,6 +83,7 @@
     double idle_since;
     bool give_back, faulty, lost;
     double no_room_until;
+    double pace; /* run times here over those of the same jobs elsewhere, smoothed; 1: alike */
     double promised_cores, promised_cards, promised_ram; /* within a round, to urgent work */
     GHashTable *failed_jobs;
     /* the leader's view */
@@ -107,6 +108,8 @@
     double ready_at;   /* when its oldest waiting task became ready */
     unsigned n_done, n_stored, n_placed, n_running;
     unsigned fails;
+    double run_sum; /* run times of its completed tasks */
+    unsigned run_n;
     double backoff_until;
     bool *chunk_dirty;
     uint64_t *chunk_stamp;
@@ -265,7 +268,8 @@
 void task_requeue(mv_core *c, job *j, uint32_t piece);
 void jobs_tick(mv_core *c);
 double job_guess(const mv_core *c, const job *j);
-void learn(mv_core *c, const job *j, double ran);
+void learn(mv_core *c, machine *m, job *j, double ran);
+bool is_slow(const machine *m);
 bool allowed_on(const mv_core *c, const job *j, const machine *m);
 uint32_t type_mask(const mv_core *c, const mv_job *spec);
 /* placement.c */
--- a/src/coordination/jobs.c
+++ b/src/coordination/jobs.c
@@ -160,8 +160,12 @@
 
 /* --- learning run times --- */
 
-void learn(mv_core *c, const job *j, double ran)
+void learn(mv_core *c, machine *m, job *j, double ran)
 {
+    if (j->run_n >= MV_PACE_PEERS)
+        m->pace += (ran / (j->run_sum / j->run_n) - m->pace) * MV_PACE_SMOOTH;
+    j->run_sum += ran;
+    j->run_n++;
     if (j->spec.guess_s <= 0)
         return;
     learnt_lane *l = g_hash_table_lookup(c->learnt, j->spec.lane);
--- a/src/coordination/machines.c
+++ b/src/coordination/machines.c
@@ -12,6 +12,7 @@
     machine *m = g_new0(machine, 1);
     g_strlcpy(m->id, id, sizeof m->id);
     m->type = -1;
+    m->pace = 1;
     m->placements = g_ptr_array_new_with_free_func(g_free);
     m->sticky = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     m->images = g_queue_new();
@@ -233,7 +234,7 @@
     if (piece->cause == MV_WHY_DONE) {
         if (ours) {
             if (p->running_at > 0)
-                learn(c, j, c->now - p->running_at);
+                learn(c, m, j, c->now - p->running_at);
             touch_image(c, m, j->spec.bundle, j->spec.pull_gb);
         }
         if (ours)
@@ -556,8 +557,27 @@
 
 /* --- time --- */
 
+/* A task far beyond what its fellows took shows a slow machine before it ends; without news the
+ * judgement fades, for slowness may pass. */
+static void watch_pace(mv_core *c, machine *m)
+{
+    m->pace += (1 - m->pace) * MV_PACE_FADE;
+    for (guint i = 0; i < m->placements->len; i++) {
+        const placement *p = g_ptr_array_index(m->placements, i);
+        const job *j = g_hash_table_lookup(c->jobs, p->job);
+        if (j && p->running_at > 0 && j->run_n >= MV_PACE_PEERS)
+            m->pace = MAX(m->pace, (c->now - p->running_at) / (j->run_sum / j->run_n));
+    }
+}
+
+bool is_slow(const machine *m)
+{
+    return m->pace > MV_SLOW_PACE;
+}
+
 static void watch_machine(mv_core *c, machine *m)
 {
+    watch_pace(c, m);
     double interval = c->conf->report_s;
     double quiet = c->now - MAX(MAX(m->heard_at, m->shard->taken_at), m->rented_at);
     /* After a take-over ask at once rather than wait for the worker to find us. */
--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -158,11 +158,12 @@
     return MIN(limit, fetch);
 }
 
-/* What a machine is worth to a task: its image's bytes cached there, then, for work that must start
+/* What a machine is worth to a task: that it keeps pace with its fellows, then its image's bytes cached there, then, for work that must start
  * soon, how quickly it could be fetched, then, for a task smaller than others about, how little room
  * would be left. Strictly in turn, two-core tasks came to sit on every
  * machine and tasks of a machine's size fitted nowhere, with half of the cores free. */
 typedef struct {
+    bool slow;
     double bytes, fetch, left;
 } worth;
 
@@ -184,7 +185,8 @@
 
 static worth worth_of(const mv_core *c, const job *j, const machine *m)
 {
-    worth w = {.bytes = has_image(m, j->spec.bundle) ? MAX(j->spec.pull_gb, MV_ROUNDING) : 0};
+    worth w = {.slow = is_slow(m),
+               .bytes = has_image(m, j->spec.bundle) ? MAX(j->spec.pull_gb, MV_ROUNDING) : 0};
     w.fetch = starts_soon(c, j) ? fetch_left(c, j, m) : 0;
     double cards, ram;
     if (j->spec.cores < c->large_cores)
@@ -194,6 +196,8 @@
 
 static bool better(const worth *a, const worth *b)
 {
+    if (a->slow != b->slow)
+        return b->slow;
     if (a->bytes != b->bytes)
         return a->bytes > b->bytes;
     if (fabs(a->fetch - b->fetch) > MV_FETCH_STEP_S)
