--- a/src/coordination/machines.c
+++ b/src/coordination/machines.c
@@ -570,6 +570,22 @@
     }
 }
 
+/* So slow that its tasks would be over sooner elsewhere, begun anew: it is emptied and returned. */
+static void leave_crawling(mv_core *c, machine *m)
+{
+    if (m->pace < MV_CRAWL_PACE || m->faulty)
+        return;
+    m->faulty = true;
+    mv_info("machine_crawls", "machine=%s pace=%.1f pieces=%u", m->id, m->pace,
+            m->placements->len);
+    for (guint i = 0; i < m->placements->len; i++) {
+        placement *p = g_ptr_array_index(m->placements, i);
+        p->stopping = p->stopping || p->seen;
+    }
+    m->wants_command = true;
+    c->want_round = true;
+}
+
 bool is_slow(const machine *m)
 {
     return m->pace > MV_SLOW_PACE;
@@ -578,6 +594,7 @@
 static void watch_machine(mv_core *c, machine *m)
 {
     watch_pace(c, m);
+    leave_crawling(c, m);
     double interval = c->conf->report_s;
     double quiet = c->now - MAX(MAX(m->heard_at, m->shard->taken_at), m->rented_at);
     /* After a take-over ask at once rather than wait for the worker to find us. */
