--- a/src/constants.h
+++ b/src/constants.h
@@ -49,7 +49,7 @@
 #define MV_ROUND_PER_TASK_S 0.0002 /* more pause for each waiting task: batches widen with load */
 #define MV_ROUND_MAX_S 0.5        /* longest pause between rounds */
 #define MV_SLOW_PACE 1.5          /* times what others take for the same job: used last */
-#define MV_CRAWL_PACE 2.5         /* and from here on it is emptied and returned */
+#define MV_CRAWL_PACE 4.0         /* and from here on it is emptied and returned */
 #define MV_PACE_PEERS 3           /* completed tasks of a job that make a measure */
 #define MV_PACE_SMOOTH 0.3        /* weight of the latest task in a machine's pace */
 #define MV_PACE_FADE 0.0025       /* per tick: half forgotten in about 30 s */
--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -48,6 +48,7 @@
     bool sent_direct;             /* a direct command with its launch was sent */
     bool unsettled;               /* ... and got no answer: it may still arrive */
     bool stopping;
+    bool adopted; /* found at a take-over: when it began is not known, and nothing learnt of it */
     double stop_sent_at;
 } placement;
 
--- a/src/coordination/machines.c
+++ b/src/coordination/machines.c
@@ -200,6 +200,7 @@
     g_strlcpy(p->job, piece->job, sizeof p->job);
     p->piece = piece->piece;
     p->attempt = piece->attempt;
+    p->adopted = true;
     job_unwait(j, piece->piece);
     note_placed(c, m, j, p);
     return p;
@@ -233,7 +234,7 @@
     }
     if (piece->cause == MV_WHY_DONE) {
         if (ours) {
-            if (p->running_at > 0)
+            if (p->running_at > 0 && !p->adopted)
                 learn(c, m, j, c->now - p->running_at);
             touch_image(c, m, j->spec.bundle, j->spec.pull_gb);
         }
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -129,6 +129,11 @@
 
 /* --- rules --- */
 
+static bool only_crashes(const sim_plan *p)
+{
+    return !p->hold && !p->lose && !p->state_cut && !p->worker_cut && !p->machine_cut && !p->outage;
+}
+
 static void check_worker(sim *s, st_worker *w, GHashTable *on, double *used)
 {
     if (w->gone || s->now < w->up_at)
@@ -140,6 +145,9 @@
         if (t->status == ST_ENDED) {
             if (j && t->cause == MV_WHY_DONE)
                 j->completed[t->piece] = true;
+            /* Crashes alone give no reason to stop a task that nobody cancelled. */
+            if (j && t->cause == MV_WHY_STOPPED && !j->cancelled && only_crashes(s->plan))
+                broken(s, "stopped %s/%u for nothing", t->job, t->piece);
             continue;
         }
         char *key = g_strdup_printf("%s/%u", t->job, t->piece);
