--- a/src/constants.h
+++ b/src/constants.h
@@ -74,7 +74,7 @@
 #define MV_TOMB_S 60.0            /* a released machine is not adopted again from a late list */
 #define MV_LIST_EVERY_S 5.0       /* reading the cloud's machine list */
 #define MV_TYPES_EVERY_S 60.0     /* reading types and prices */
-#define MV_REFUSED_PAUSE_S 12.0   /* no new try of a type and kind that had no capacity */
+#define MV_REFUSED_PAUSE_S 12.0  /* no new try of a type and kind that had no capacity */
 #define MV_BOOT_FACTOR 3.0        /* boots slower than this many times ready_s are given up */
 #define MV_IDLE_RETURN_S 60.0     /* the cheapest kind of machine is kept idle this long */
 #define MV_IDLE_LEAST_S 10.0      /* and the dearest at least this long */
--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -315,6 +315,18 @@
     c->synced = true;
 }
 
+/* Controllers that start while the cloud is silent take the types from this record; without it
+ * none of them could accept a job until the cloud was back. */
+static void keep_types(mv_core *c)
+{
+    if (!leads(c) || c->types_stamp)
+        return;
+    mv_action *a = txn(c, false);
+    txn_if(a, K_LEADER, c->leader_stamp);
+    txn_if(a, K_TYPES, 0);
+    txn_set(a, K_TYPES, mv_types_pack(c->types), false);
+}
+
 void mv_core_types(mv_core *c, double now, GArray *types)
 {
     enter(c, now);
@@ -330,6 +342,7 @@
     while (g_hash_table_iter_next(&it, NULL, &v))
         ((machine *)v)->type = -1;
     c->want_round = true;
+    keep_types(c);
 }
 
 /* --- outcomes of transactions --- */
--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -678,7 +678,7 @@
 {
     bool late = c->now > c->types_asked_at + 2.0 * MV_CLOUD_TIMEOUT_MS / 1000;
     if ((!c->types_id || late) &&
-        (c->types_asked_at == 0 || c->now > c->types_asked_at + (c->types ? MV_TYPES_EVERY_S : 1))) {
+        (c->types_asked_at == 0 || c->now > c->types_asked_at + (c->types && c->types_stamp ? MV_TYPES_EVERY_S : 1))) {
         c->types_id = act(c, MV_ACT_TYPES)->id;
         c->types_asked_at = c->now;
     }
--- a/tests/test_processes.c
+++ b/tests/test_processes.c
@@ -25,8 +25,17 @@
 static GHashTable *hires;
 static bool stopping;
 
+typedef int (*serve)(void *ctx, const char *method, const char *url, const msgpack_object *body,
+                     struct MHD_Connection *con, mv_out *out);
+
+typedef struct {
+    serve fn;
+    void *ctx;
+} service;
+
 typedef struct {
     st_worker *w;
+    service service;
     struct MHD_Daemon *server;
     pthread_t thread;
 } live_worker;
@@ -41,14 +50,6 @@
 
 /* --- a small server for every stand-in --- */
 
-typedef int (*serve)(void *ctx, const char *method, const char *url, const msgpack_object *body,
-                     struct MHD_Connection *con, mv_out *out);
-
-typedef struct {
-    serve fn;
-    void *ctx;
-} service;
-
 static enum MHD_Result on_request(void *cls, struct MHD_Connection *con, const char *url,
                                   const char *method, const char *version, const char *data,
                                   size_t *size, void **slot)
@@ -247,10 +248,8 @@
 
 static st_task_facts facts(void *ctx, const char *job)
 {
-    char key[MV_KEY_SIZE];
     (void)ctx;
     (void)job;
-    g_snprintf(key, sizeof key, K_JOB "%s", job);
     return (st_task_facts){.cores = 2, .ram_gb = 1, .run_s = 1.5, .known = true};
 }
 
@@ -378,13 +377,11 @@
 static void start_worker(const char *id, const char *hull, bool spot)
 {
     live_worker *lw = g_new0(live_worker, 1);
-    service *s = g_new0(service, 1);
     unsigned port;
     lw->w = st_worker_new(id, hull, spot, 20);
     lw->w->lease_from = now_s();
-    s->fn = serve_worker;
-    s->ctx = lw;
-    lw->server = start_server(s, &port);
+    lw->service = (service){serve_worker, lw};
+    lw->server = start_server(&lw->service, &port);
     g_snprintf(lw->w->address, sizeof lw->w->address, "127.0.0.1:%u", port);
     g_ptr_array_add(workers, lw);
     g_assert_cmpint(pthread_create(&lw->thread, NULL, worker_thread, lw), ==, 0);
@@ -644,7 +641,8 @@
     mv_http_client_init();
     state = st_state_new();
     workers = g_ptr_array_new();
-    hires = g_hash_table_new(g_str_hash, g_str_equal);
+    hires = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                  (GDestroyNotify)g_ptr_array_unref);
     struct MHD_Daemon *state_server = start_server(&state_service, &state_port);
     struct MHD_Daemon *cloud_server = start_server(&cloud_service, &cloud_port);
     g_autofree char *dir = g_dir_make_tmp("mv-XXXXXX", NULL);
@@ -667,10 +665,17 @@
     pthread_mutex_unlock(&lock);
     for (guint i = 0; i < workers->len; i++)
         pthread_join(((live_worker *)g_ptr_array_index(workers, i))->thread, NULL);
-    for (guint i = 0; i < workers->len; i++)
-        MHD_stop_daemon(((live_worker *)g_ptr_array_index(workers, i))->server);
+    for (guint i = 0; i < workers->len; i++) {
+        live_worker *lw = g_ptr_array_index(workers, i);
+        MHD_stop_daemon(lw->server);
+        st_worker_free(lw->w);
+        g_free(lw);
+    }
     MHD_stop_daemon(cloud_server);
     MHD_stop_daemon(state_server);
+    g_ptr_array_unref(workers);
+    g_hash_table_unref(hires);
+    st_state_free(state);
     for (unsigned i = 0; i < NODES; i++)
         g_unlink(nodes[i].config);
     g_rmdir(dir);
