--- a/src/constants.h
+++ b/src/constants.h
@@ -96,7 +96,7 @@
 #define MV_PEER_TIMEOUT_MS 600         /* a sibling without an answer */
 #define MV_FOLLOW_MS 3000              /* length of one watch: what a cut swallows shows after it */
 #define MV_FOLLOW_PAUSE_MS 80          /* least time between watches: batches changes */
-#define MV_HTTP_CONNECTIONS 600        /* connections served at once: their stacks fit the memory */
+#define MV_HTTP_CONNECTIONS 1400       /* connections served at once: their stacks fit the memory */
 #define MV_HTTP_MEMORY (16 * 1024)     /* bytes MHD keeps for one connection */
 #define MV_SUBMITS_AT_ONCE 48          /* submissions in the works; more are asked to come back */
 #define MV_SHED_RETRY_S 2              /* seconds in Retry-After of a 429 */
--- a/src/coordination/machines.c
+++ b/src/coordination/machines.c
@@ -385,6 +385,9 @@
     }
     absent_placements(c, m, r, orders);
     if (!was) {
+        /* Idle from now on: with its boot counted as idleness, a machine that took its time was
+         * returned seconds after it came up. */
+        m->idle_since = c->now;
         c->want_round = true;
         mv_debug("confirmed", "machine=%s pieces=%zu", m->id, r->n_pieces);
     }
