--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -383,13 +383,30 @@
     return n < 0 ? 0 : (unsigned)n;
 }
 
+static bool bin_allowed(const mv_want *w, const shard *s, const bin *b)
+{
+    return b->shard == s && (w->types >> b->type & 1) && (!b->spot || w->spot) &&
+           (!w->yard[0] || strcmp(w->yard, b->yard) == 0);
+}
+
+/* Whether some machine of the block would take such a task once it is empty. */
+static bool has_place(const mv_core *c, const mv_want *w, const shard *s, const GArray *bins)
+{
+    for (guint i = 0; i < bins->len; i++) {
+        const bin *b = &g_array_index(bins, bin, i);
+        const mv_type *t = &g_array_index(c->types, mv_type, b->type);
+        if (bin_allowed(w, s, b) && slots(w, t->cores, t->cards, t->ram_gb) > 0)
+            return true;
+    }
+    return false;
+}
+
 /* Takes room for the wanted tasks out of the bins; the rest comes back. */
 static unsigned pack(const mv_want *w, const shard *s, GArray *bins, unsigned left)
 {
     for (guint i = 0; i < bins->len && left; i++) {
         bin *b = &g_array_index(bins, bin, i);
-        if (b->shard != s || !(w->types >> b->type & 1) || (b->spot && !w->spot) ||
-            (w->yard[0] && strcmp(w->yard, b->yard) != 0))
+        if (!bin_allowed(w, s, b))
             continue;
         unsigned n = MIN(left, slots(w, b->cores, b->cards, b->ram_gb));
         b->cores -= n * w->cores;
@@ -494,12 +511,29 @@
     ask(c, r);
 }
 
+/* How long the fleet, with what is booting, would work on all that waits. */
+static double backlog_time(const mv_core *c, const GArray *bins)
+{
+    double work = 0, cores = 0;
+    for (guint i = 0; i < bins->len; i++)
+        cores += g_array_index(c->types, mv_type, g_array_index(bins, bin, i).type).cores;
+    for (guint i = 0; i < c->shards->len; i++) {
+        const shard *s = g_ptr_array_index(c->shards, i);
+        for (guint k = 0; s->demand && k < s->demand->wants->len; k++) {
+            const mv_want *w = &g_array_index(s->demand->wants, mv_want, k);
+            work += w->count * w->cores * w->run_s;
+        }
+    }
+    return cores > 0 ? work / cores : G_MAXDOUBLE;
+}
+
 static void size_fleet(mv_core *c)
 {
     if (!c->types || c->types->len == 0 || c->now < c->sized_at + MV_DEMAND_S)
         return;
     c->sized_at = c->now;
     g_autoptr(GArray) bins = present_bins(c);
+    bool little = backlog_time(c, bins) < MV_BACKLOG_S;
     g_autoptr(GArray) requests = g_array_new(FALSE, TRUE, sizeof(offer));
     for (int pass = 0; pass < 2; pass++)
         for (guint i = 0; i < c->shards->len; i++) {
@@ -508,7 +542,8 @@
                 continue;
             for (guint k = 0; k < s->demand->wants->len; k++) {
                 const mv_want *w = &g_array_index(s->demand->wants, mv_want, k);
-                if (w->urgent != (pass == 0))
+                /* What the fleet will have done before another machine is up needs none. */
+                if (w->urgent != (pass == 0) || (little && has_place(c, w, s, bins)))
                     continue;
                 unsigned left = pack(w, s, bins, w->count);
                 offer o;
