--- a/src/bookkeeping/log.c
+++ b/src/bookkeeping/log.c
@@ -19,7 +19,8 @@
 static const char *const LEVELS[] = {"error", "info", "debug"};
 
 /* g_log messages of libraries end in the same form as our own. */
-static GLogWriterOutput writer(GLogLevelFlags level, const GLogField *fields, gsize n, gpointer data)
+static GLogWriterOutput writer(GLogLevelFlags level, const GLogField *fields, gsize n,
+                               gpointer data)
 {
     (void)data;
     mv_log_level ours = MV_LOG_DEBUG;
@@ -42,7 +43,7 @@
         line[len - 1] = '\n';
     }
     return write(STDERR_FILENO, line, (size_t)len) < 0 ? G_LOG_WRITER_UNHANDLED
-                                                        : G_LOG_WRITER_HANDLED;
+                                                       : G_LOG_WRITER_HANDLED;
 }
 
 bool mv_log_init(const char *node_name)
--- a/src/bookkeeping/settings.c
+++ b/src/bookkeeping/settings.c
@@ -166,8 +166,9 @@
     s->lease_s = number(r, "settings.workers.lease_s", 0.5, 86400, NAN);
     s->cancel_s = number(r, "settings.workers.cancel_s", 0.5, 86400, NAN);
     if (!r->failed && s->cancel_s <= s->lease_s)
-        fail(r, "settings.workers.cancel_s", "must exceed lease_s: a worker that is cut off keeps "
-                                             "its tasks that long");
+        fail(r, "settings.workers.cancel_s",
+             "must exceed lease_s: a worker that is cut off keeps "
+             "its tasks that long");
     s->state_rps = number(r, "settings.state.rps", 1, 1e6, NAN);
     s->state_write_rps = number(r, "settings.state.write_rps", 1, 1e6, NAN);
     s->value_kb = number(r, "settings.state.value_kb", 4, 1e6, NAN);
@@ -213,8 +214,7 @@
                              .mem_fn = cyaml_mem,
                              .log_level = CYAML_LOG_ERROR};
     mv_tunables *got = NULL;
-    cyaml_err_t err =
-        cyaml_load_file(path, &config, &tunable_schema, (cyaml_data_t **)&got, NULL);
+    cyaml_err_t err = cyaml_load_file(path, &config, &tunable_schema, (cyaml_data_t **)&got, NULL);
     if (err != CYAML_OK) {
         g_strdelimit(why->str, "\n", ' ');
         fail(r, path, why->len ? g_strchomp(why->str) : cyaml_strerror(err));
--- a/src/bookkeeping/settings.h
+++ b/src/bookkeeping/settings.h
@@ -23,8 +23,13 @@
     double cpus, cpus_max, gpus, gpus_max; /* 0: none */
 } mv_team;
 
-typedef enum { MV_OBJ_DEADLINE, MV_OBJ_WAIT, MV_OBJ_FINISHED, MV_OBJ_GUARANTEE, MV_OBJ_OTHER }
-    mv_objective_kind;
+typedef enum {
+    MV_OBJ_DEADLINE,
+    MV_OBJ_WAIT,
+    MV_OBJ_FINISHED,
+    MV_OBJ_GUARANTEE,
+    MV_OBJ_OTHER
+} mv_objective_kind;
 
 typedef struct {
     mv_objective_kind kind;
--- a/src/constants.h
+++ b/src/constants.h
@@ -3,113 +3,113 @@
 #define MV_CONSTANTS_H
 
 /* --- limits of the protocol (PROTOCOL page) --- */
-#define MV_MAX_BODY 65536         /* bytes: request bodies, and answers to workers and users */
-#define MV_MAX_PIECES 100000      /* tasks of a job */
-#define MV_KEY_SIZE 201           /* bytes of a key in the state service, with the final 0 */
-#define MV_MAX_RENT 50            /* machines in one rental request */
-#define MV_MAX_RELEASE 100        /* names in one release request */
-#define MV_LIST_PAGE 500          /* machines on a page of the cloud's list */
-#define MV_STORE_PAGE 1000        /* items on a page of the state service */
-#define MV_TXN_BYTES 60000        /* bytes of changes in a transaction: 64 KiB less the framing */
-#define MV_CLOCK_DRIFT 0.0005     /* share by which a steady clock may run fast */
+#define MV_MAX_BODY 65536     /* bytes: request bodies, and answers to workers and users */
+#define MV_MAX_PIECES 100000  /* tasks of a job */
+#define MV_KEY_SIZE 201       /* bytes of a key in the state service, with the final 0 */
+#define MV_MAX_RENT 50        /* machines in one rental request */
+#define MV_MAX_RELEASE 100    /* names in one release request */
+#define MV_LIST_PAGE 500      /* machines on a page of the cloud's list */
+#define MV_STORE_PAGE 1000    /* items on a page of the state service */
+#define MV_TXN_BYTES 60000    /* bytes of changes in a transaction: 64 KiB less the framing */
+#define MV_CLOCK_DRIFT 0.0005 /* share by which a steady clock may run fast */
 
 /* --- text sizes, bytes with the final 0 --- */
-#define MV_ID_SIZE 32             /* job ids, node names of the wire are shorter */
-#define MV_NAME_SIZE 96           /* names of teams, types, zones, images, machines */
-#define MV_MAX_TYPES 32           /* machine types that the service tells apart; a bit set */
-#define MV_CHUNK_TASKS 16384      /* tasks in one progress record: 4 KiB of hex digits */
+#define MV_ID_SIZE 32        /* job ids, node names of the wire are shorter */
+#define MV_NAME_SIZE 96      /* names of teams, types, zones, images, machines */
+#define MV_MAX_TYPES 32      /* machine types that the service tells apart; a bit set */
+#define MV_CHUNK_TASKS 16384 /* tasks in one progress record: 4 KiB of hex digits */
 
 /* --- membership, seconds --- */
-#define MV_SESSION_TTL_S 2.5      /* a silent controller is replaced after this; three lost renewals */
-#define MV_SESSION_RENEW_S 0.7    /* a third of the above, less one slow answer */
-#define MV_SESSION_RETRY_S 0.3    /* after a renewal or a watch that failed */
-#define MV_SESSION_MARGIN_S 0.3   /* taken off our own view of the session: drift, rounding */
-#define MV_BLOCK_LEASE_S 30.0     /* DESIGN: block lease; shortened when cancel_s asks for it */
-#define MV_CANCEL_MARGIN_S 5.0    /* kept free below cancel_s - lease_s for stops to arrive */
-#define MV_SHARDS 1               /* blocks of the fleet; 0: one for each controller */
+#define MV_SESSION_TTL_S 2.5   /* a silent controller is replaced after this; three lost renewals */
+#define MV_SESSION_RENEW_S 0.7 /* a third of the above, less one slow answer */
+#define MV_SESSION_RETRY_S 0.3 /* after a renewal or a watch that failed */
+#define MV_SESSION_MARGIN_S 0.3 /* taken off our own view of the session: drift, rounding */
+#define MV_BLOCK_LEASE_S 30.0   /* DESIGN: block lease; shortened when cancel_s asks for it */
+#define MV_CANCEL_MARGIN_S 5.0  /* kept free below cancel_s - lease_s for stops to arrive */
+#define MV_SHARDS 1             /* blocks of the fleet; 0: one for each controller */
 
-#define MV_RESIGN_S 8.0           /* a new holder gets this long to reach its machines */
-#define MV_REBALANCE_S 10.0       /* pause between moves of shards to controllers that came back */
-#define MV_USED_SLACK 8           /* names of gone machines a record of used ones may carry */
+#define MV_RESIGN_S 8.0     /* a new holder gets this long to reach its machines */
+#define MV_REBALANCE_S 10.0 /* pause between moves of shards to controllers that came back */
+#define MV_USED_SLACK 8     /* names of gone machines a record of used ones may carry */
 
 /* --- placement, seconds --- */
-#define MV_IMAGE_WAIT_S 5.0       /* DESIGN: wait for a machine that has the image */
-#define MV_ROUNDING 1e-6          /* cores, cards, GB: sums of decimal fractions */
-#define MV_ATTEMPT_BITS 24        /* low bits of an attempt: placements within one term */
-#define MV_START_SHARE 0.1        /* of a start aim that may go on waiting for an image */
-#define MV_KEEP_SHARE 0.2         /* of a team's limit, at most, is kept free for such work */
-#define MV_FETCH_STEP_S 0.5       /* differences in fetch time that matter */
-#define MV_SOON_SMOOTH 0.2        /* weight of the latest such job in the usual size */
-#define MV_FETCH_STEP_S 0.5       /* differences in fetch time that matter */
-#define MV_SOON_S 20.0            /* start aims below this justify stopping other work */
-#define MV_RETRY_BASE_S 1.0       /* first pause after a task failed; doubles */
-#define MV_RETRY_MAX_S 30.0       /* longest pause: a job that fails everywhere costs little */
-#define MV_FAULTY_JOBS 2          /* a machine that failed tasks of this many jobs is drained */
-#define MV_ROUND_S 0.02           /* least pause between rounds of placement */
+#define MV_IMAGE_WAIT_S 5.0        /* DESIGN: wait for a machine that has the image */
+#define MV_ROUNDING 1e-6           /* cores, cards, GB: sums of decimal fractions */
+#define MV_ATTEMPT_BITS 24         /* low bits of an attempt: placements within one term */
+#define MV_START_SHARE 0.1         /* of a start aim that may go on waiting for an image */
+#define MV_KEEP_SHARE 0.2          /* of a team's limit, at most, is kept free for such work */
+#define MV_FETCH_STEP_S 0.5        /* differences in fetch time that matter */
+#define MV_SOON_SMOOTH 0.2         /* weight of the latest such job in the usual size */
+#define MV_FETCH_STEP_S 0.5        /* differences in fetch time that matter */
+#define MV_SOON_S 20.0             /* start aims below this justify stopping other work */
+#define MV_RETRY_BASE_S 1.0        /* first pause after a task failed; doubles */
+#define MV_RETRY_MAX_S 30.0        /* longest pause: a job that fails everywhere costs little */
+#define MV_FAULTY_JOBS 2           /* a machine that failed tasks of this many jobs is drained */
+#define MV_ROUND_S 0.02            /* least pause between rounds of placement */
 #define MV_ROUND_PER_TASK_S 0.0002 /* more pause for each waiting task: batches widen with load */
-#define MV_ROUND_MAX_S 0.5        /* longest pause between rounds */
-#define MV_SLOW_PACE 1.5          /* times what others take for the same job: used last */
-#define MV_CRAWL_PACE 4.0         /* and from here on it is emptied and returned */
-#define MV_PACE_PEERS 3           /* completed tasks of a job that make a measure */
-#define MV_PACE_SMOOTH 0.3        /* weight of the latest task in a machine's pace */
-#define MV_PACE_FADE 0.0025       /* per tick: half forgotten in about 30 s */
-#define MV_TICK_S 0.1             /* how often time is told to the core */
-#define MV_SILENT_REPORTS 2.0     /* report intervals without a word before nothing more is placed */
-#define MV_PROBE_REPORTS 1.5      /* and before the machine is asked directly */
-#define MV_LOST_REPORTS 2.5       /* and before it is given up, if it did not answer either */
+#define MV_ROUND_MAX_S 0.5         /* longest pause between rounds */
+#define MV_SLOW_PACE 1.5           /* times what others take for the same job: used last */
+#define MV_CRAWL_PACE 4.0          /* and from here on it is emptied and returned */
+#define MV_PACE_PEERS 3            /* completed tasks of a job that make a measure */
+#define MV_PACE_SMOOTH 0.3         /* weight of the latest task in a machine's pace */
+#define MV_PACE_FADE 0.0025        /* per tick: half forgotten in about 30 s */
+#define MV_TICK_S 0.1              /* how often time is told to the core */
+#define MV_SILENT_REPORTS 2.0 /* report intervals without a word before nothing more is placed */
+#define MV_PROBE_REPORTS 1.5  /* and before the machine is asked directly */
+#define MV_LOST_REPORTS 2.5   /* and before it is given up, if it did not answer either */
 #define MV_LOST_ANYWAY_REPORTS 12.0 /* given up after this even if nobody at all is heard */
-#define MV_PROBES_FAILED 2        /* direct commands without an answer that make it lost */
-#define MV_HEARD_REPORTS 2.5      /* none heard of within this: it is rather we who are cut off */
-#define MV_REFUSED_START_S 2.0    /* no new launch after a worker refused one: our view is old */
-#define MV_RECALL_SPARE_S 6.0     /* saved tasks are stopped this long before their machine goes */
-#define MV_FLUSH_S 0.7            /* progress records are written at most this often */
-#define MV_FLUSH_OPS 8            /* progress records in one transaction: leaves writes for others */
-#define MV_END_PAUSE_S 0.1        /* before the end of a job is tried again */
-#define MV_LEARN_WINDOW 30u       /* tasks over which the run time against guess_s is smoothed */
-#define MV_DEMAND_S 0.5           /* holders tell the leader what they need */
-#define MV_DEMAND_OLD_S 4.0       /* older demands are not acted upon */
+#define MV_PROBES_FAILED 2          /* direct commands without an answer that make it lost */
+#define MV_HEARD_REPORTS 2.5        /* none heard of within this: it is rather we who are cut off */
+#define MV_REFUSED_START_S 2.0      /* no new launch after a worker refused one: our view is old */
+#define MV_RECALL_SPARE_S 6.0 /* saved tasks are stopped this long before their machine goes */
+#define MV_FLUSH_S 0.7        /* progress records are written at most this often */
+#define MV_FLUSH_OPS 8        /* progress records in one transaction: leaves writes for others */
+#define MV_END_PAUSE_S 0.1    /* before the end of a job is tried again */
+#define MV_LEARN_WINDOW 30u   /* tasks over which the run time against guess_s is smoothed */
+#define MV_DEMAND_S 0.5       /* holders tell the leader what they need */
+#define MV_DEMAND_OLD_S 4.0   /* older demands are not acted upon */
 
 /* --- fleet, seconds --- */
-#define MV_FENCE_AFTER_S 10.0     /* launches without an answer are fenced off by a new term */
-#define MV_TOMB_S 60.0            /* a released machine is not adopted again from a late list */
-#define MV_BACKLOG_S 16.0         /* less waiting work than this, in time of the fleet, rents nothing */
-#define MV_LIST_EVERY_S 5.0       /* reading the cloud's machine list */
-#define MV_TYPES_EVERY_S 60.0     /* reading types and prices */
-#define MV_REFUSED_PAUSE_S 12.0  /* no new try of a type and kind that had no capacity */
-#define MV_BOOT_FACTOR 3.0        /* boots slower than this many times ready_s are given up */
-#define MV_IDLE_RETURN_S 60.0     /* the cheapest kind of machine is kept idle this long */
-#define MV_IDLE_LEAST_S 10.0      /* and the dearest at least this long */
-#define MV_MIN_CHARGE_S 60.0      /* PROTOCOL: a machine costs at least this */
-#define MV_ADOPT_AGE_S 20.0       /* a listed machine nobody holds is adopted at this age */
+#define MV_FENCE_AFTER_S 10.0 /* launches without an answer are fenced off by a new term */
+#define MV_TOMB_S 60.0        /* a released machine is not adopted again from a late list */
+#define MV_BACKLOG_S 16.0     /* less waiting work than this, in time of the fleet, rents nothing */
+#define MV_LIST_EVERY_S 5.0   /* reading the cloud's machine list */
+#define MV_TYPES_EVERY_S 60.0 /* reading types and prices */
+#define MV_REFUSED_PAUSE_S 12.0 /* no new try of a type and kind that had no capacity */
+#define MV_BOOT_FACTOR 3.0      /* boots slower than this many times ready_s are given up */
+#define MV_IDLE_RETURN_S 60.0   /* the cheapest kind of machine is kept idle this long */
+#define MV_IDLE_LEAST_S 10.0    /* and the dearest at least this long */
+#define MV_MIN_CHARGE_S 60.0    /* PROTOCOL: a machine costs at least this */
+#define MV_ADOPT_AGE_S 20.0     /* a listed machine nobody holds is adopted at this age */
 
 /* --- runtime --- */
-#define MV_STACK_BYTES (96 * 1024)     /* thread stacks: hundreds must fit in the memory */
-#define MV_COMMAND_THREADS 6           /* direct commands in flight */
-#define MV_TXN_THREADS 2               /* transactions in flight */
-#define MV_CLOUD_THREADS 2             /* cloud calls in flight: one may hang */
-#define MV_COMMAND_TIMEOUT_MS 1500     /* a direct command without an answer */
-#define MV_STATE_TIMEOUT_MS 1500       /* a request to the state service without an answer */
-#define MV_SESSION_TIMEOUT_MS 700     /* a renewal without an answer is sent again */
-#define MV_STATE_TRIES 4               /* tries of a request that was over the limit */
-#define MV_STATE_PAUSE_MS 120          /* first pause after such a refusal */
-#define MV_CLOUD_TIMEOUT_MS 5000       /* a cloud call without an answer */
-#define MV_PASS_ON_MS 1500             /* a request that a sibling serves for us */
-#define MV_PEER_TIMEOUT_MS 600         /* a sibling without an answer */
-#define MV_FOLLOW_MS 3000              /* length of one watch: what a cut swallows shows after it */
-#define MV_FOLLOW_PAUSE_MS 80          /* least time between watches: batches changes */
-#define MV_HTTP_CONNECTIONS 1400       /* connections served at once: their stacks fit the memory */
-#define MV_HTTP_MEMORY (16 * 1024)     /* bytes MHD keeps for one connection */
-#define MV_SUBMITS_AT_ONCE 48          /* submissions in the works; more are asked to come back */
-#define MV_SHED_RETRY_S 2              /* seconds in Retry-After of a 429 */
-#define MV_CONNECTION_IDLE_S 120       /* seconds after which MHD ends an idle connection */
-#define MV_ABORT_TRIES 4               /* a cancellation against a record that keeps changing */
-#define MV_RETRY_AFTER_S 1             /* seconds in Retry-After of a 503 */
+#define MV_STACK_BYTES (96 * 1024) /* thread stacks: hundreds must fit in the memory */
+#define MV_COMMAND_THREADS 6       /* direct commands in flight */
+#define MV_TXN_THREADS 2           /* transactions in flight */
+#define MV_CLOUD_THREADS 2         /* cloud calls in flight: one may hang */
+#define MV_COMMAND_TIMEOUT_MS 1500 /* a direct command without an answer */
+#define MV_STATE_TIMEOUT_MS 1500   /* a request to the state service without an answer */
+#define MV_SESSION_TIMEOUT_MS 700  /* a renewal without an answer is sent again */
+#define MV_STATE_TRIES 4           /* tries of a request that was over the limit */
+#define MV_STATE_PAUSE_MS 120      /* first pause after such a refusal */
+#define MV_CLOUD_TIMEOUT_MS 5000   /* a cloud call without an answer */
+#define MV_PASS_ON_MS 1500         /* a request that a sibling serves for us */
+#define MV_PEER_TIMEOUT_MS 600     /* a sibling without an answer */
+#define MV_FOLLOW_MS 3000          /* length of one watch: what a cut swallows shows after it */
+#define MV_FOLLOW_PAUSE_MS 80      /* least time between watches: batches changes */
+#define MV_HTTP_CONNECTIONS 1400   /* connections served at once: their stacks fit the memory */
+#define MV_HTTP_MEMORY (16 * 1024) /* bytes MHD keeps for one connection */
+#define MV_SUBMITS_AT_ONCE 48      /* submissions in the works; more are asked to come back */
+#define MV_SHED_RETRY_S 2          /* seconds in Retry-After of a 429 */
+#define MV_CONNECTION_IDLE_S 120   /* seconds after which MHD ends an idle connection */
+#define MV_ABORT_TRIES 4           /* a cancellation against a record that keeps changing */
+#define MV_RETRY_AFTER_S 1         /* seconds in Retry-After of a 503 */
 #define MV_MAX_ANSWER (8 * 1024 * 1024) /* bytes of an answer we read; watches have no limit */
-#define MV_CLIENT_CONNECTIONS 32       /* connections a thread keeps open */
-#define MV_CONNECT_TIMEOUT_MS 1000     /* nothing is further away than this */
-#define MV_MAX_FRAME (256 * 1024)      /* bytes of a message between controllers */
-#define MV_PEER_CONNECTIONS 64         /* connections from siblings, old ones included */
-#define MV_FINAL_CACHE 20000           /* finished jobs kept in memory, about 100 bytes each */
-#define MV_LOG_REPEAT_S 5.0            /* a repeating message is printed once in this time */
+#define MV_CLIENT_CONNECTIONS 32        /* connections a thread keeps open */
+#define MV_CONNECT_TIMEOUT_MS 1000      /* nothing is further away than this */
+#define MV_MAX_FRAME (256 * 1024)       /* bytes of a message between controllers */
+#define MV_PEER_CONNECTIONS 64          /* connections from siblings, old ones included */
+#define MV_FINAL_CACHE 20000            /* finished jobs kept in memory, about 100 bytes each */
+#define MV_LOG_REPEAT_S 5.0             /* a repeating message is printed once in this time */
 
 #endif
--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -4,7 +4,7 @@
 
 /* --- actions --- */
 
-mv_action *act(mv_core *c, mv_action_kind kind)
+mv_action *mv_act(mv_core *c, mv_action_kind kind)
 {
     mv_action *a = g_new0(mv_action, 1);
     a->kind = kind;
@@ -13,32 +13,32 @@
     return a;
 }
 
-mv_action *txn(mv_core *c, bool urgent)
+mv_action *mv_txn(mv_core *c, bool urgent)
 {
-    mv_action *a = act(c, MV_ACT_TXN);
+    mv_action *a = mv_act(c, MV_ACT_TXN);
     a->conds = g_array_new(FALSE, TRUE, sizeof(mv_cond));
     a->changes = g_array_new(FALSE, TRUE, sizeof(mv_change));
     a->urgent = urgent;
     return a;
 }
 
-void txn_if(mv_action *a, const char *key, uint64_t stamp)
+void mv_txn_if(mv_action *a, const char *key, uint64_t stamp)
 {
     mv_cond cond = {.stamp = stamp};
     g_strlcpy(cond.key, key, sizeof cond.key);
     g_array_append_val(a->conds, cond);
 }
 
-void txn_set(mv_action *a, const char *key, GBytes *data, bool held)
+void mv_txn_set(mv_action *a, const char *key, GBytes *data, bool held)
 {
     mv_change change = {.data = data, .held = held};
     g_strlcpy(change.key, key, sizeof change.key);
     g_array_append_val(a->changes, change);
 }
 
-void txn_remove(mv_action *a, const char *key)
+void mv_txn_remove(mv_action *a, const char *key)
 {
-    txn_set(a, key, NULL, false);
+    mv_txn_set(a, key, NULL, false);
 }
 
 void mv_demand_free(mv_demand *d)
@@ -76,7 +76,7 @@
 
 /* --- small questions --- */
 
-uint64_t session_ok(const mv_core *c)
+uint64_t mv_session_ok(const mv_core *c)
 {
     bool ok = c->session && c->now < c->contact + MV_SESSION_TTL_S - MV_SESSION_MARGIN_S;
     return ok ? c->incarnation : 0;
@@ -94,37 +94,37 @@
 
 /* Past the session others may have taken over; the block lease still lets us serve workers, whose
  * tokens tell whose orders count. */
-bool holds(const mv_core *c, const shard *s)
+bool mv_holds(const mv_core *c, const shard *s)
 {
     double lease = mv_settings_block_lease(c->conf) * (1 - MV_CLOCK_DRIFT);
     return s && s->mine && c->now < MIN(c->contact, c->replica_contact) + lease;
 }
 
-bool leads(const mv_core *c)
+bool mv_leads(const mv_core *c)
 {
-    return session_ok(c) && c->leader_stamp && c->leader.incarnation == c->incarnation &&
+    return mv_session_ok(c) && c->leader_stamp && c->leader.incarnation == c->incarnation &&
            strcmp(c->leader.node, c->conf->node_name) == 0;
 }
 
 bool mv_core_leads(const mv_core *c)
 {
-    return leads(c);
+    return mv_leads(c);
 }
 
-double wall(const mv_core *c)
+double mv_wall(const mv_core *c)
 {
     return c->now + c->wall_offset;
 }
 
 /* A recorded time of day on our steady clock, never in the future: a record read before the first
  * tick once gave a machine a birth so late that its silence was never noticed. */
-double from_wall(const mv_core *c, double at)
+double mv_from_wall(const mv_core *c, double at)
 {
     return MIN(at - c->wall_offset, c->now);
 }
 
 /* A transaction in flight blocks a second try, but not for ever: its answer may be lost. */
-bool pending(uint64_t *txn_id, double at, double now)
+bool mv_pending(uint64_t *txn_id, double at, double now)
 {
     if (*txn_id && now > at + 2.0 * MV_STATE_TIMEOUT_MS / 1000)
         *txn_id = 0;
@@ -162,9 +162,9 @@
     c->teams = g_new0(team, conf->n_teams);
     for (size_t i = 0; i < conf->n_teams; i++)
         c->teams[i].conf = &conf->teams[i];
-    c->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, machine_free);
+    c->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, mv_machine_free);
     c->turn = g_ptr_array_new();
-    c->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, job_free);
+    c->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, mv_job_free);
     c->learnt = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     c->actions = g_queue_new();
     c->rentals = g_ptr_array_new_with_free_func(free_rental);
@@ -200,15 +200,15 @@
 
 /* Rounds of decisions: events only ask for one, and the pause between rounds widens with what
  * waits, so that under load one round serves many events. */
-void settle(mv_core *c)
+void mv_settle(mv_core *c)
 {
     if (c->want_round && c->now >= c->next_round) {
         c->want_round = false;
-        place_round(c);
+        mv_place_round(c);
         double pause = MV_ROUND_S + MV_ROUND_PER_TASK_S * c->counts.waiting;
         c->next_round = c->now + MIN(pause, MV_ROUND_MAX_S);
     }
-    flush_commands(c);
+    mv_flush_commands(c);
 }
 
 static void enter(mv_core *c, double now)
@@ -221,13 +221,13 @@
     enter(c, now);
     c->wall_offset = wall_now - now;
     if (c->synced) {
-        membership_tick(c);
-        holders_tick(c);
-        machines_tick(c);
-        jobs_tick(c);
-        fleet_tick(c);
+        mv_membership_tick(c);
+        mv_holders_tick(c);
+        mv_machines_tick(c);
+        mv_jobs_tick(c);
+        mv_fleet_tick(c);
     }
-    settle(c);
+    mv_settle(c);
 }
 
 void mv_core_session(mv_core *c, double now, uint64_t incarnation, double sent)
@@ -280,17 +280,17 @@
         if (o && !c->types)
             c->types = mv_types_parse(o);
     } else if (g_str_has_prefix(key, K_NODE)) {
-        record_node(c, key + strlen(K_NODE), o, stamp);
+        mv_record_node(c, key + strlen(K_NODE), o, stamp);
     } else if (indexed(key, K_SHARD, &index)) {
-        record_shard(c, index, o, stamp);
+        mv_record_shard(c, index, o, stamp);
     } else if (indexed(key, K_BLOCK, &index)) {
-        record_block(c, index, o, stamp);
+        mv_record_block(c, index, o, stamp);
     } else if (indexed(key, K_USED, &index)) {
-        record_used(c, index, o, stamp);
+        mv_record_used(c, index, o, stamp);
     } else if (g_str_has_prefix(key, K_JOB)) {
-        record_job(c, key + strlen(K_JOB), o, stamp);
+        mv_record_job(c, key + strlen(K_JOB), o, stamp);
     } else if (g_str_has_prefix(key, K_PROGRESS)) {
-        record_progress(c, key + strlen(K_PROGRESS), o, stamp);
+        mv_record_progress(c, key + strlen(K_PROGRESS), o, stamp);
     }
 }
 
@@ -306,7 +306,7 @@
     apply(c, key, doc ? mv_doc_root(doc) : NULL, stamp);
     c->want_round = true;
     if (c->synced)
-        settle(c);
+        mv_settle(c);
 }
 
 void mv_core_synced(mv_core *c, double now)
@@ -319,12 +319,12 @@
  * none of them could accept a job until the cloud was back. */
 static void keep_types(mv_core *c)
 {
-    if (!leads(c) || c->types_stamp)
+    if (!mv_leads(c) || c->types_stamp)
         return;
-    mv_action *a = txn(c, false);
-    txn_if(a, K_LEADER, c->leader_stamp);
-    txn_if(a, K_TYPES, 0);
-    txn_set(a, K_TYPES, mv_types_pack(c->types), false);
+    mv_action *a = mv_txn(c, false);
+    mv_txn_if(a, K_LEADER, c->leader_stamp);
+    mv_txn_if(a, K_TYPES, 0);
+    mv_txn_set(a, K_TYPES, mv_types_pack(c->types), false);
 }
 
 void mv_core_types(mv_core *c, double now, GArray *types)
@@ -386,7 +386,7 @@
         return MV_NEVER_FITS;
     if (!mv_core_ready(c))
         return MV_CANNOT_SAY;
-    return type_mask(c, spec) ? MV_FITS : MV_NEVER_FITS;
+    return mv_type_mask(c, spec) ? MV_FITS : MV_NEVER_FITS;
 }
 
 void mv_core_job(const mv_core *c, const char *id, mv_job_view *out)
@@ -399,7 +399,7 @@
     out->stamp = j->stamp;
     out->pieces = j->spec.pieces;
     out->done = j->n_done;
-    out->owner = job_mine(c, j);
+    out->owner = mv_job_mine(c, j);
     out->running = out->owner ? j->n_running : j->shown_running;
     out->chunks = j->chunks;
 }
@@ -425,18 +425,18 @@
 static void overview_machine(mv_out *o, const mv_core *c, const machine *m, double now)
 {
     double cores, cards, ram;
-    machine_free_room(c, m, &cores, &cards, &ram);
+    mv_machine_free_room(c, m, &cores, &cards, &ram);
     mv_put_map(o, 6);
     mv_field_text(o, N_ID, m->id);
     mv_field_text(o, N_HULL, m->hull);
     mv_field_bool(o, N_LOANERS, m->loaners);
     mv_field_text(o, N_STATUS,
-                  !m->heard_at     ? N_BOOTING
-                  : m->faulty      ? "faulty"
-                  : m->give_back   ? "returning"
-                  : m->recall_at   ? "recalled"
-                  : m->confirmed   ? N_RUNNING
-                                   : "unconfirmed");
+                  !m->heard_at   ? N_BOOTING
+                  : m->faulty    ? "faulty"
+                  : m->give_back ? "returning"
+                  : m->recall_at ? "recalled"
+                  : m->confirmed ? N_RUNNING
+                                 : "unconfirmed");
     mv_field_num(o, N_AGE, now - m->rented_at);
     mv_field_u64(o, N_PIECES, m->placements->len);
 }
--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -18,7 +18,7 @@
     return n;
 }
 
-mv_demand *own_demand(mv_core *c, shard *s)
+static mv_demand *own_demand(mv_core *c, shard *s)
 {
     mv_demand *d = g_new0(mv_demand, 1);
     g_strlcpy(d->node, c->conf->node_name, sizeof d->node);
@@ -37,8 +37,8 @@
         mv_want w = {.cores = j->spec.cores,
                      .cards = j->spec.cards,
                      .ram_gb = j->spec.ram_gb,
-                     .run_s = job_guess(c, j),
-                     .types = type_mask(c, &j->spec),
+                     .run_s = mv_job_guess(c, j),
+                     .types = mv_type_mask(c, &j->spec),
                      .spot = j->spec.loaners,
                      .urgent = j->guaranteed || j->spec.urgency <= MV_HIGH,
                      .count = n};
@@ -51,22 +51,25 @@
         machine *m = g_ptr_array_index(c->turn, i);
         if (m->shard != s)
             continue;
-        mv_note n = {.idle_s = m->placements->len || !m->confirmed ? 0 : c->now - m->idle_since,
-                     /* A new holder has heard nobody yet: that is its own newness, not theirs.
-                      * Without this every take-over gave back the whole fleet as never booted. */
-                     .silent_s = c->now - MAX(m->heard_at, s->taken_at),
-                     .fence = g_hash_table_size(m->sticky) > 0 &&
-                              c->now > m->sticky_since + MV_FENCE_AFTER_S,
-                     .give_back = m->give_back || (m->faulty && !m->placements->len),
-                     .lost = m->lost,
-                     /* A holder that reaches no machine once took those that its predecessor
-                      * had used for machines that never booted. */
-                     .up = m->confirmed || may_hold_tasks(m),
-                     .heard = c->now - m->heard_at < MV_HEARD_REPORTS * c->conf->report_s,
-                     .leaving = m->recall_at > 0 || m->faulty};
-        const mv_type *t = type_of(c, m);
+        mv_note n = {
+            .idle_s = m->placements->len || !m->confirmed ? 0 : c->now - m->idle_since,
+            /* A new holder has heard nobody yet: that is its own newness, not theirs.
+             * Without this every take-over gave back the whole fleet as never booted. */
+            .silent_s = c->now - MAX(m->heard_at, s->taken_at),
+            .fence =
+                g_hash_table_size(m->sticky) > 0 && c->now > m->sticky_since + MV_FENCE_AFTER_S,
+            .give_back = m->give_back || (m->faulty && !m->placements->len),
+            .lost = m->lost,
+            /* A holder that reaches no machine once took those that its predecessor
+             * had used for machines that never booted. */
+            .up = m->confirmed || mv_may_hold_tasks(m),
+            .heard =
+                c->now -
+                    m->heard_at<MV_HEARD_REPORTS * c->conf->report_s, .leaving = m->recall_at> 0 ||
+                m->faulty};
+        const mv_type *t = mv_type_of(c, m);
         double cores, cards, ram;
-        machine_free_room(c, m, &cores, &cards, &ram);
+        mv_machine_free_room(c, m, &cores, &cards, &ram);
         n.used_cores = t ? t->cores - cores : 0;
         n.used_ram = t ? t->ram_gb - ram : 0;
         g_strlcpy(n.id, m->id, sizeof n.id);
@@ -81,7 +84,7 @@
 
 static double price_per_core(const mv_core *c, const machine *m)
 {
-    const mv_type *t = type_of(c, m);
+    const mv_type *t = mv_type_of(c, m);
     return t && t->cores > 0 ? (m->loaners ? t->market : t->rate) / t->cores : 0;
 }
 
@@ -108,8 +111,7 @@
         machine *m = g_ptr_array_index(c->turn, i);
         if (m->shard != s || m->give_back || !m->confirmed || m->placements->len || m->strangers)
             continue;
-        if (c->now - m->idle_since < idle_time(c, m) ||
-            c->now - m->rented_at < MV_MIN_CHARGE_S)
+        if (c->now - m->idle_since < idle_time(c, m) || c->now - m->rented_at < MV_MIN_CHARGE_S)
             continue;
         if (spare > 0) {
             spare--;
@@ -133,15 +135,15 @@
 {
     for (guint i = 0; i < c->shards->len; i++) {
         shard *s = g_ptr_array_index(c->shards, i);
-        if (!holds(c, s) || c->now < s->demand_at + MV_DEMAND_S)
+        if (!mv_holds(c, s) || c->now < s->demand_at + MV_DEMAND_S)
             continue;
         s->demand_at = c->now;
         offer_idle(c, s);
         mv_demand *d = own_demand(c, s);
-        if (leads(c)) {
+        if (mv_leads(c)) {
             take_demand(c, s, d);
         } else if (c->leader_stamp) {
-            mv_action *a = act(c, MV_ACT_DEMAND);
+            mv_action *a = mv_act(c, MV_ACT_DEMAND);
             a->demand = d;
             g_strlcpy(a->to, c->leader.node, sizeof a->to);
         } else {
@@ -154,7 +156,7 @@
 {
     c->now = MAX(c->now, now);
     shard *s = d->shard < c->shards->len ? g_ptr_array_index(c->shards, d->shard) : NULL;
-    if (!leads(c) || !s || s->holder.incarnation != d->incarnation ||
+    if (!mv_leads(c) || !s || s->holder.incarnation != d->incarnation ||
         strcmp(s->holder.node, d->node) != 0) {
         mv_demand_free(d);
         return;
@@ -190,7 +192,7 @@
     return c->now > *(double *)value;
 }
 
-void fleet_lead_lost(mv_core *c)
+static void fleet_lead_lost(mv_core *c)
 {
     g_ptr_array_set_size(c->rentals, 0);
     for (guint i = 0; i < c->shards->len; i++) {
@@ -225,7 +227,7 @@
 
 /* A machine that nobody holds: rented by a request that was answered late, or by a leader that
  * died before it could record it. */
-void fleet_adopt(mv_core *c, const mv_member *b)
+void mv_fleet_adopt(mv_core *c, const mv_member *b)
 {
     if (c->shards->len == 0 || buried(c, b->id) || added_already(c, b->id))
         return;
@@ -254,9 +256,9 @@
 }
 
 /* Writes a block anew when machines came, went or need a higher term. */
-bool fleet_block_change(mv_core *c, shard *s)
+static bool fleet_block_change(mv_core *c, shard *s)
 {
-    if (!s->stamp || pending(&s->block_txn, s->block_txn_at, c->now))
+    if (!s->stamp || mv_pending(&s->block_txn, s->block_txn_at, c->now))
         return false;
     g_autoptr(GArray) members = g_array_new(FALSE, TRUE, sizeof(mv_member));
     bool change = s->block_stamp == 0;
@@ -295,13 +297,13 @@
         return false;
     char key[MV_KEY_SIZE];
     g_snprintf(key, sizeof key, K_BLOCK "%u", s->index);
-    mv_action *a = txn(c, true);
-    txn_if(a, K_LEADER, c->leader_stamp);
-    txn_if(a, key, s->block_stamp);
-    txn_set(a, key, mv_block_pack(members), false);
+    mv_action *a = mv_txn(c, true);
+    mv_txn_if(a, K_LEADER, c->leader_stamp);
+    mv_txn_if(a, key, s->block_stamp);
+    mv_txn_set(a, key, mv_block_pack(members), false);
     if (term != c->term) {
-        txn_if(a, K_TERM, c->term_stamp);
-        txn_set(a, K_TERM, mv_counter_pack(term), false);
+        mv_txn_if(a, K_TERM, c->term_stamp);
+        mv_txn_set(a, K_TERM, mv_counter_pack(term), false);
     }
     s->block_txn = a->id;
     s->block_txn_at = c->now;
@@ -349,9 +351,10 @@
     for (guint i = 0; i < c->turn->len; i++) {
         machine *m = g_ptr_array_index(c->turn, i);
         const mv_note *n = m->shard ? note_of(m->shard, m->id) : NULL;
-        if (!m->shard || buried(c, m->id) || m->releasing || (n && (n->give_back || n->lost || n->leaving)))
+        if (!m->shard || buried(c, m->id) || m->releasing ||
+            (n && (n->give_back || n->lost || n->leaving)))
             continue;
-        type_of(c, m);
+        mv_type_of(c, m);
         add_bin(bins, c, m->type, m->yard, m->loaners, m->shard, n ? n->used_cores : 0,
                 n ? n->used_ram : 0);
     }
@@ -469,7 +472,7 @@
 
 static void ask(mv_core *c, rental *r)
 {
-    mv_action *a = act(c, MV_ACT_RENT);
+    mv_action *a = mv_act(c, MV_ACT_RENT);
     g_strlcpy(a->name, r->hire, sizeof a->name);
     g_strlcpy(a->hull, r->hull, sizeof a->hull);
     g_strlcpy(a->yard, r->yard, sizeof a->yard);
@@ -500,8 +503,7 @@
     const mv_type *t = &g_array_index(c->types, mv_type, o->type);
     rental *r = g_new0(rental, 1);
     /* The leader's term makes the name unlike any other leader's. */
-    g_snprintf(r->hire, sizeof r->hire, "r-%" G_GUINT64_FORMAT "-%u", c->leader.term,
-               ++c->hires);
+    g_snprintf(r->hire, sizeof r->hire, "r-%" G_GUINT64_FORMAT "-%u", c->leader.term, ++c->hires);
     g_strlcpy(r->hull, t->name, sizeof r->hull);
     g_strlcpy(r->yard, o->yard, sizeof r->yard);
     r->spot = o->spot;
@@ -588,7 +590,7 @@
         c->counts.rented += got;
         shard *s = g_ptr_array_index(c->shards, r->shard);
         for (guint k = 0; k < got; k++) {
-            mv_member b = {.loaners = r->spot, .at = wall(c)};
+            mv_member b = {.loaners = r->spot, .at = mv_wall(c)};
             g_strlcpy(b.id, g_ptr_array_index(hosts, k), sizeof b.id);
             g_strlcpy(b.hull, r->hull, sizeof b.hull);
             g_strlcpy(b.yard, r->yard, sizeof b.yard);
@@ -606,7 +608,7 @@
 static const char *reason_to_release(mv_core *c, machine *m)
 {
     const mv_note *n = m->shard ? note_of(m->shard, m->id) : NULL;
-    const mv_type *t = type_of(c, m);
+    const mv_type *t = mv_type_of(c, m);
     bool fresh_note = n && m->shard->demand_got_at > c->now - MV_DEMAND_OLD_S;
     if (m->listed_failed)
         return "failed";
@@ -639,7 +641,7 @@
     }
     if (hosts->len == 0)
         return;
-    mv_action *a = act(c, MV_ACT_RELEASE);
+    mv_action *a = mv_act(c, MV_ACT_RELEASE);
     a->hosts = g_ptr_array_ref(hosts);
     c->release_id = a->id;
     c->release_at = c->now;
@@ -691,20 +693,20 @@
             m->listed_failed = l->failed;
             if (!m->address[0])
                 g_strlcpy(m->address, l->address, sizeof m->address);
-        } else if (leads(c) && l->age_s > MV_ADOPT_AGE_S) {
-            mv_member b = {.loaners = l->loaners, .at = wall(c) - l->age_s};
+        } else if (mv_leads(c) && l->age_s > MV_ADOPT_AGE_S) {
+            mv_member b = {.loaners = l->loaners, .at = mv_wall(c) - l->age_s};
             g_strlcpy(b.id, l->id, sizeof b.id);
             g_strlcpy(b.address, l->address, sizeof b.address);
             g_strlcpy(b.hull, l->hull, sizeof b.hull);
             g_strlcpy(b.yard, l->yard, sizeof b.yard);
-            fleet_adopt(c, &b);
+            mv_fleet_adopt(c, &b);
         }
     }
     if (!more || listed->len == 0) {
         read_list(c);
         return;
     }
-    mv_action *a = act(c, MV_ACT_LIST);
+    mv_action *a = mv_act(c, MV_ACT_LIST);
     g_strlcpy(a->name, g_array_index(listed, mv_listed, listed->len - 1).id, sizeof a->name);
     c->list_id = a->id;
 }
@@ -713,26 +715,27 @@
 {
     bool late = c->now > c->types_asked_at + 2.0 * MV_CLOUD_TIMEOUT_MS / 1000;
     if ((!c->types_id || late) &&
-        (c->types_asked_at == 0 || c->now > c->types_asked_at + (c->types && c->types_stamp ? MV_TYPES_EVERY_S : 1))) {
-        c->types_id = act(c, MV_ACT_TYPES)->id;
+        (c->types_asked_at == 0 ||
+         c->now > c->types_asked_at + (c->types && c->types_stamp ? MV_TYPES_EVERY_S : 1))) {
+        c->types_id = mv_act(c, MV_ACT_TYPES)->id;
         c->types_asked_at = c->now;
     }
-    if (!leads(c))
+    if (!mv_leads(c))
         return;
     if (c->now > c->list_at + MV_LIST_EVERY_S &&
         (!c->list_id || c->now > c->list_at + 4 * MV_CLOUD_TIMEOUT_MS / 1000.0)) {
         g_clear_pointer(&c->list_seen, g_hash_table_unref);
         c->list_seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-        c->list_id = act(c, MV_ACT_LIST)->id;
+        c->list_id = mv_act(c, MV_ACT_LIST)->id;
         c->list_at = c->now;
     }
 }
 
-void fleet_tick(mv_core *c)
+void mv_fleet_tick(mv_core *c)
 {
     tell_demand(c);
     ask_cloud(c);
-    bool lead = leads(c);
+    bool lead = mv_leads(c);
     if (lead != c->led) {
         fleet_lead_lost(c);
         c->led = lead;
--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -25,10 +25,10 @@
 #endif
 
 typedef enum {
-    T_WAIT,    /* may be placed */
-    T_PLACED,  /* on a machine, or perhaps on its way there */
-    T_DONE,    /* completed, not stored yet */
-    T_STORED   /* completed and stored */
+    T_WAIT,   /* may be placed */
+    T_PLACED, /* on a machine, or perhaps on its way there */
+    T_DONE,   /* completed, not stored yet */
+    T_STORED  /* completed and stored */
 } task_state;
 
 typedef struct job job;
@@ -104,9 +104,9 @@
     double accepted_at; /* steady */
     double submitted_wall;
     team *team;
-    uint8_t *state;    /* task_state by piece */
-    GArray *waiting;   /* piece numbers, last first */
-    double ready_at;   /* when its oldest waiting task became ready */
+    uint8_t *state;  /* task_state by piece */
+    GArray *waiting; /* piece numbers, last first */
+    double ready_at; /* when its oldest waiting task became ready */
     unsigned n_done, n_stored, n_placed, n_running;
     unsigned fails;
     double run_sum; /* run times of its completed tasks */
@@ -126,8 +126,8 @@
 struct team {
     const mv_team *conf;
     shard *shard;
-    double used_cores, used_cards; /* placements */
-    double soon_used, soon_size;   /* by work that must start soon: now, and a usual job */
+    double used_cores, used_cards;         /* placements */
+    double soon_used, soon_size;           /* by work that must start soon: now, and a usual job */
     double stopping_cores, promised_cores; /* within a round */
 };
 
@@ -206,8 +206,8 @@
     bool led; /* leading at the last tick */
     double led_since;
     GPtrArray *rentals;
-    GHashTable *refused;   /* "hull/yard/kind" -> until */
-    GHashTable *tombs;     /* released machines -> when */
+    GHashTable *refused; /* "hull/yard/kind" -> until */
+    GHashTable *tombs;   /* released machines -> when */
     uint64_t list_id, types_id, release_id;
     double list_at, release_at, sized_at;
     GPtrArray *release_hosts;
@@ -222,73 +222,67 @@
 } learnt_lane;
 
 /* core.c */
-mv_action *act(mv_core *c, mv_action_kind kind);
-mv_action *txn(mv_core *c, bool urgent);
-void txn_if(mv_action *a, const char *key, uint64_t stamp);
-void txn_set(mv_action *a, const char *key, GBytes *data, bool held);
-void txn_remove(mv_action *a, const char *key);
-uint64_t session_ok(const mv_core *c); /* our incarnation within the short session, else 0 */
-bool holds(const mv_core *c, const shard *s);
-bool leads(const mv_core *c);
-double wall(const mv_core *c);
-double from_wall(const mv_core *c, double at);
-void settle(mv_core *c);
-bool pending(uint64_t *txn_id, double at, double now);
+mv_action *mv_act(mv_core *c, mv_action_kind kind);
+mv_action *mv_txn(mv_core *c, bool urgent);
+void mv_txn_if(mv_action *a, const char *key, uint64_t stamp);
+void mv_txn_set(mv_action *a, const char *key, GBytes *data, bool held);
+void mv_txn_remove(mv_action *a, const char *key);
+uint64_t mv_session_ok(const mv_core *c); /* our incarnation within the short session, else 0 */
+bool mv_holds(const mv_core *c, const shard *s);
+bool mv_leads(const mv_core *c);
+double mv_wall(const mv_core *c);
+double mv_from_wall(const mv_core *c, double at);
+void mv_settle(mv_core *c);
+bool mv_pending(uint64_t *txn_id, double at, double now);
 /* membership.c */
-void membership_tick(mv_core *c);
-void record_node(mv_core *c, const char *name, const msgpack_object *o, uint64_t stamp);
-void record_shard(mv_core *c, unsigned index, const msgpack_object *o, uint64_t stamp);
-void record_block(mv_core *c, unsigned index, const msgpack_object *o, uint64_t stamp);
-void record_used(mv_core *c, unsigned index, const msgpack_object *o, uint64_t stamp);
-shard *shard_get(mv_core *c, unsigned index);
-void holders_tick(mv_core *c);
+void mv_membership_tick(mv_core *c);
+void mv_record_node(mv_core *c, const char *name, const msgpack_object *o, uint64_t stamp);
+void mv_record_shard(mv_core *c, unsigned index, const msgpack_object *o, uint64_t stamp);
+void mv_record_block(mv_core *c, unsigned index, const msgpack_object *o, uint64_t stamp);
+void mv_record_used(mv_core *c, unsigned index, const msgpack_object *o, uint64_t stamp);
+void mv_holders_tick(mv_core *c);
 /* machines.c */
-machine *machine_new(mv_core *c, const char *id);
-void machine_free(gpointer p);
-void machine_left(mv_core *c, machine *m);
-uint64_t token(const machine *m);
-bool usable(const mv_core *c, const machine *m);
-bool may_hold_tasks(const machine *m);
-void machine_free_room(const mv_core *c, const machine *m, double *cores, double *cards,
-                       double *ram);
-bool has_image(const machine *m, const char *image);
-void touch_image(mv_core *c, machine *m, const char *image, double gb);
-void flush_commands(mv_core *c);
-void machines_tick(mv_core *c);
-void drop_placement(mv_core *c, machine *m, guint index, bool requeue);
-void reset_machine(mv_core *c, machine *m);
-const mv_type *type_of(const mv_core *c, const machine *m);
+machine *mv_machine_new(mv_core *c, const char *id);
+void mv_machine_free(gpointer p);
+void mv_machine_left(mv_core *c, machine *m);
+uint64_t mv_token(const machine *m);
+bool mv_usable(const mv_core *c, const machine *m);
+bool mv_may_hold_tasks(const machine *m);
+void mv_machine_free_room(const mv_core *c, const machine *m, double *cores, double *cards,
+                          double *ram);
+bool mv_has_image(const machine *m, const char *image);
+void mv_flush_commands(mv_core *c);
+void mv_machines_tick(mv_core *c);
+void mv_reset_machine(mv_core *c, machine *m);
+const mv_type *mv_type_of(const mv_core *c, const machine *m);
 /* jobs.c */
-void record_job(mv_core *c, const char *id, const msgpack_object *o, uint64_t stamp);
-void record_progress(mv_core *c, const char *rest, const msgpack_object *o, uint64_t stamp);
-void job_free(gpointer p);
-void job_reset(mv_core *c, job *j);
-bool job_mine(const mv_core *c, const job *j);
-void task_done(mv_core *c, job *j, uint32_t piece);
-void job_unwait(job *j, uint32_t piece);
-void task_requeue(mv_core *c, job *j, uint32_t piece);
-void jobs_tick(mv_core *c);
-double job_guess(const mv_core *c, const job *j);
-void learn(mv_core *c, machine *m, job *j, double ran);
-bool is_slow(const machine *m);
-bool allowed_on(const mv_core *c, const job *j, const machine *m);
-uint32_t type_mask(const mv_core *c, const mv_job *spec);
+void mv_record_job(mv_core *c, const char *id, const msgpack_object *o, uint64_t stamp);
+void mv_record_progress(mv_core *c, const char *rest, const msgpack_object *o, uint64_t stamp);
+void mv_job_free(gpointer p);
+void mv_job_reset(mv_core *c, job *j);
+bool mv_job_mine(const mv_core *c, const job *j);
+void mv_task_done(mv_core *c, job *j, uint32_t piece);
+void mv_job_unwait(job *j, uint32_t piece);
+void mv_task_requeue(mv_core *c, job *j, uint32_t piece);
+void mv_jobs_tick(mv_core *c);
+double mv_job_guess(const mv_core *c, const job *j);
+void mv_learn(mv_core *c, machine *m, job *j, double ran);
+bool mv_is_slow(const machine *m);
+bool mv_allowed_on(const mv_core *c, const job *j, const machine *m);
+uint32_t mv_type_mask(const mv_core *c, const mv_job *spec);
 /* placement.c */
-void place_round(mv_core *c);
-double unknown_cores(const mv_core *c, const shard *s);
-void note_placed(mv_core *c, machine *m, job *j, placement *p);
-double fetch_left(const mv_core *c, const job *j, const machine *m);
-double start_aim(const mv_core *c, const job *j);
+void mv_place_round(mv_core *c);
+double mv_unknown_cores(const mv_core *c, const shard *s);
+void mv_note_placed(mv_core *c, machine *m, job *j, placement *p);
+double mv_fetch_left(const mv_core *c, const job *j, const machine *m);
+double mv_start_aim(const mv_core *c, const job *j);
 /* preemption.c */
-void coming_room(const mv_core *c, const machine *m, double *cores, double *cards, double *ram);
-bool fits(const job *j, double cores, double cards, double ram);
-void preempt_begin(mv_core *c);
-void preempt_for(mv_core *c, job *j);
-bool starts_soon(const mv_core *c, const job *j);
+void mv_coming_room(const mv_core *c, const machine *m, double *cores, double *cards, double *ram);
+bool mv_fits(const job *j, double cores, double cards, double ram);
+void mv_preempt_begin(mv_core *c);
+void mv_preempt_for(mv_core *c, job *j);
+bool mv_starts_soon(const mv_core *c, const job *j);
 /* fleet.c */
-void fleet_tick(mv_core *c);
-void fleet_adopt(mv_core *c, const mv_member *m);
-mv_demand *own_demand(mv_core *c, shard *s);
-bool fleet_block_change(mv_core *c, shard *s);
-void fleet_lead_lost(mv_core *c);
+void mv_fleet_tick(mv_core *c);
+void mv_fleet_adopt(mv_core *c, const mv_member *m);
 #endif
--- a/src/coordination/jobs.c
+++ b/src/coordination/jobs.c
@@ -5,12 +5,12 @@
 
 #include <string.h>
 
-bool job_mine(const mv_core *c, const job *j)
+bool mv_job_mine(const mv_core *c, const job *j)
 {
-    return j->team && j->team->shard && holds(c, j->team->shard);
+    return j->team && j->team->shard && mv_holds(c, j->team->shard);
 }
 
-void job_free(gpointer p)
+void mv_job_free(gpointer p)
 {
     job *j = p;
     mv_job_clear(&j->spec);
@@ -22,7 +22,7 @@
 }
 
 /* Everything that is not done waits; reports will show what is placed. */
-void job_reset(mv_core *c, job *j)
+void mv_job_reset(mv_core *c, job *j)
 {
     g_array_set_size(j->waiting, 0);
     j->n_placed = j->n_running = 0;
@@ -42,7 +42,7 @@
     j->spec = *spec; /* takes its list */
     j->stamp = stamp;
     j->submitted_wall = at;
-    j->accepted_at = from_wall(c, at);
+    j->accepted_at = mv_from_wall(c, at);
     j->state = g_new0(uint8_t, spec->pieces);
     j->chunks = (spec->pieces + MV_CHUNK_TASKS - 1) / MV_CHUNK_TASKS;
     j->chunk_dirty = g_new0(bool, j->chunks);
@@ -51,7 +51,7 @@
     for (size_t i = 0; i < c->conf->n_teams; i++)
         if (strcmp(c->conf->teams[i].name, spec->crew) == 0)
             j->team = &c->teams[i];
-    job_reset(c, j);
+    mv_job_reset(c, j);
     return j;
 }
 
@@ -71,7 +71,7 @@
     g_hash_table_remove(c->jobs, j->spec.id);
 }
 
-void record_job(mv_core *c, const char *id, const msgpack_object *o, uint64_t stamp)
+void mv_record_job(mv_core *c, const char *id, const msgpack_object *o, uint64_t stamp)
 {
     job *j = g_hash_table_lookup(c->jobs, id);
     if (!o) {
@@ -93,7 +93,7 @@
     g_hash_table_insert(c->jobs, j->spec.id, j);
 }
 
-void job_unwait(job *j, uint32_t piece)
+void mv_job_unwait(job *j, uint32_t piece)
 {
     for (guint k = j->waiting->len; k-- > 0;)
         if (g_array_index(j->waiting, uint32_t, k) == piece) {
@@ -103,7 +103,7 @@
 }
 
 /* Key: "j-000412/0", the chunk last. */
-void record_progress(mv_core *c, const char *rest, const msgpack_object *o, uint64_t stamp)
+void mv_record_progress(mv_core *c, const char *rest, const msgpack_object *o, uint64_t stamp)
 {
     char id[MV_ID_SIZE];
     const char *slash = strchr(rest, '/');
@@ -127,21 +127,21 @@
             continue;
         if (j->state[piece] != T_DONE) {
             j->n_done++;
-            job_unwait(j, piece);
+            mv_job_unwait(j, piece);
         }
         j->state[piece] = T_STORED;
         j->n_stored++;
     }
 }
 
-void task_done(mv_core *c, job *j, uint32_t piece)
+void mv_task_done(mv_core *c, job *j, uint32_t piece)
 {
     task_state st = j->state[piece];
     if (st == T_DONE || st == T_STORED)
         return;
     /* A copy still placed elsewhere would go on for nothing: its machine's next report stops it. */
     if (st == T_WAIT)
-        job_unwait(j, piece);
+        mv_job_unwait(j, piece);
     j->state[piece] = T_DONE;
     j->n_done++;
     j->fails = 0;
@@ -149,7 +149,7 @@
     c->want_round = true;
 }
 
-void task_requeue(mv_core *c, job *j, uint32_t piece)
+void mv_task_requeue(mv_core *c, job *j, uint32_t piece)
 {
     if (j->waiting->len == 0)
         j->ready_at = c->now;
@@ -160,7 +160,7 @@
 
 /* --- learning run times --- */
 
-void learn(mv_core *c, machine *m, job *j, double ran)
+void mv_learn(mv_core *c, machine *m, job *j, double ran)
 {
     if (j->run_n >= MV_PACE_PEERS)
         m->pace += (ran / (j->run_sum / j->run_n) - m->pace) * MV_PACE_SMOOTH;
@@ -179,7 +179,7 @@
     l->ratio += (ratio - l->ratio) / MIN(l->n + 1, MV_LEARN_WINDOW);
 }
 
-double job_guess(const mv_core *c, const job *j)
+double mv_job_guess(const mv_core *c, const job *j)
 {
     const learnt_lane *l = g_hash_table_lookup(c->learnt, j->spec.lane);
     return j->spec.guess_s * (l ? l->ratio : 1);
@@ -202,7 +202,7 @@
     return zone;
 }
 
-uint32_t type_mask(const mv_core *c, const mv_job *spec)
+uint32_t mv_type_mask(const mv_core *c, const mv_job *spec)
 {
     uint32_t mask = 0;
     for (guint i = 0; c->types && i < c->types->len; i++)
@@ -211,9 +211,9 @@
     return mask;
 }
 
-bool allowed_on(const mv_core *c, const job *j, const machine *m)
+bool mv_allowed_on(const mv_core *c, const job *j, const machine *m)
 {
-    const mv_type *t = type_of(c, m);
+    const mv_type *t = mv_type_of(c, m);
     return t && type_allowed(&j->spec, t) && GUARD(KIND, !m->loaners || j->spec.loaners) &&
            (!j->spec.has_yard || strcmp(j->spec.yard, m->yard) == 0);
 }
@@ -244,20 +244,20 @@
 static void end_job(mv_core *c, job *j)
 {
     char key[MV_KEY_SIZE], owner[MV_KEY_SIZE];
-    mv_action *a = txn(c, true);
+    mv_action *a = mv_txn(c, true);
     shard_key(j, owner, sizeof owner);
-    txn_if(a, owner, j->team->shard->stamp);
+    mv_txn_if(a, owner, j->team->shard->stamp);
     g_snprintf(key, sizeof key, K_JOB "%s", j->spec.id);
-    txn_if(a, key, j->stamp);
-    txn_remove(a, key);
+    mv_txn_if(a, key, j->stamp);
+    mv_txn_remove(a, key);
     for (unsigned i = 0; i < j->chunks; i++)
         if (j->chunk_stamp[i]) {
             g_snprintf(key, sizeof key, K_PROGRESS "%s/%u", j->spec.id, i);
-            txn_remove(a, key);
+            mv_txn_remove(a, key);
         }
     g_snprintf(key, sizeof key, K_FINAL "%s", j->spec.id);
-    txn_if(a, key, 0);
-    txn_set(a, key, mv_final_pack(true, j->spec.pieces, wall(c)), false);
+    mv_txn_if(a, key, 0);
+    mv_txn_set(a, key, mv_final_pack(true, j->spec.pieces, mv_wall(c)), false);
     j->ending = true;
     j->ending_txn = a->id;
     j->flushed_at = c->now;
@@ -266,7 +266,7 @@
 /* Many chunks of many jobs of one shard share a transaction. */
 static void flush_progress(mv_core *c, shard *s)
 {
-    if (pending(&c->progress_txn, c->progress_txn_at, c->now))
+    if (mv_pending(&c->progress_txn, c->progress_txn_at, c->now))
         return;
     mv_action *a = NULL;
     unsigned ops = 0;
@@ -285,16 +285,16 @@
                 continue;
             char key[MV_KEY_SIZE], job_key[MV_KEY_SIZE];
             if (!a) {
-                a = txn(c, false);
+                a = mv_txn(c, false);
                 shard_key(j, key, sizeof key);
-                txn_if(a, key, s->stamp);
+                mv_txn_if(a, key, s->stamp);
             }
             g_snprintf(job_key, sizeof job_key, K_JOB "%s", j->spec.id);
-            txn_if(a, job_key, j->stamp);
+            mv_txn_if(a, job_key, j->stamp);
             g_snprintf(key, sizeof key, K_PROGRESS "%s/%u", j->spec.id, i);
             GBytes *data = pack_chunk(j, i);
             bytes += g_bytes_get_size(data) + sizeof key;
-            txn_set(a, key, data, false);
+            mv_txn_set(a, key, data, false);
             j->chunk_dirty[i] = false;
             j->flushed_at = c->now;
             ops++;
@@ -321,18 +321,19 @@
     }
 }
 
-void jobs_tick(mv_core *c)
+void mv_jobs_tick(mv_core *c)
 {
-    if (!session_ok(c))
+    if (!mv_session_ok(c))
         return;
     GHashTableIter it;
     gpointer v;
     g_hash_table_iter_init(&it, c->jobs);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         job *j = v;
-        if (!job_mine(c, j))
+        if (!mv_job_mine(c, j))
             continue;
-        if (GUARD(ALL_DONE, j->n_done == j->spec.pieces) && !j->ending && c->now >= j->flushed_at + MV_END_PAUSE_S)
+        if (GUARD(ALL_DONE, j->n_done == j->spec.pieces) && !j->ending &&
+            c->now >= j->flushed_at + MV_END_PAUSE_S)
             end_job(c, j);
         else if (j->ending && c->now > j->flushed_at + 3.0 * MV_STATE_TIMEOUT_MS / 1000)
             j->ending = false; /* its answer was lost, and so, perhaps, was the request */
@@ -341,6 +342,6 @@
             mark_unstored(j);
     }
     for (guint i = 0; i < c->shards->len; i++)
-        if (holds(c, g_ptr_array_index(c->shards, i)))
+        if (mv_holds(c, g_ptr_array_index(c->shards, i)))
             flush_progress(c, g_ptr_array_index(c->shards, i));
 }
--- a/src/coordination/machines.c
+++ b/src/coordination/machines.c
@@ -5,9 +5,11 @@
 
 #include <string.h>
 
+static void drop_placement(mv_core *c, machine *m, guint index, bool requeue);
+
 /* --- life --- */
 
-machine *machine_new(mv_core *c, const char *id)
+machine *mv_machine_new(mv_core *c, const char *id)
 {
     machine *m = g_new0(machine, 1);
     g_strlcpy(m->id, id, sizeof m->id);
@@ -23,7 +25,7 @@
     return m;
 }
 
-void machine_free(gpointer p)
+void mv_machine_free(gpointer p)
 {
     machine *m = p;
     g_ptr_array_unref(m->placements);
@@ -34,7 +36,7 @@
 }
 
 /* Forgets what an earlier term taught about its tasks; images and speed stay true. */
-void reset_machine(mv_core *c, machine *m)
+void mv_reset_machine(mv_core *c, machine *m)
 {
     while (m->placements->len)
         drop_placement(c, m, m->placements->len - 1, false);
@@ -50,7 +52,7 @@
 
 /* It is in no block any more: gone for certain, since only a release that was answered or an
  * idle move takes it out. */
-void machine_left(mv_core *c, machine *m)
+void mv_machine_left(mv_core *c, machine *m)
 {
     while (m->placements->len)
         drop_placement(c, m, m->placements->len - 1, true);
@@ -61,12 +63,12 @@
 
 /* --- small questions --- */
 
-uint64_t token(const machine *m)
+uint64_t mv_token(const machine *m)
 {
     return m->shard ? MAX(m->shard->holder.term, m->member_term) : 0;
 }
 
-const mv_type *type_of(const mv_core *c, const machine *m)
+const mv_type *mv_type_of(const mv_core *c, const machine *m)
 {
     if (!c->types)
         return NULL;
@@ -78,24 +80,23 @@
 }
 
 /* Not yet confirmed under our token, and recorded by a predecessor as one it used. */
-bool may_hold_tasks(const machine *m)
+bool mv_may_hold_tasks(const machine *m)
 {
-    return m->shard && !m->confirmed && !m->fresh &&
-           g_hash_table_contains(m->shard->used, m->id);
+    return m->shard && !m->confirmed && !m->fresh && g_hash_table_contains(m->shard->used, m->id);
 }
 
-bool usable(const mv_core *c, const machine *m)
+bool mv_usable(const mv_core *c, const machine *m)
 {
-    return m->shard && holds(c, m->shard) && m->confirmed && !m->give_back && !m->faulty &&
+    return m->shard && mv_holds(c, m->shard) && m->confirmed && !m->give_back && !m->faulty &&
            !m->lost && !m->recall_at && !m->strangers &&
            g_hash_table_contains(m->shard->used, m->id) &&
            c->now - m->heard_at < MV_SILENT_REPORTS * c->conf->report_s;
 }
 
-void machine_free_room(const mv_core *c, const machine *m, double *cores, double *cards,
-                       double *ram)
+void mv_machine_free_room(const mv_core *c, const machine *m, double *cores, double *cards,
+                          double *ram)
 {
-    const mv_type *t = type_of(c, m);
+    const mv_type *t = mv_type_of(c, m);
     *cores = t ? t->cores : 0;
     *cards = t ? t->cards : 0;
     *ram = t ? t->ram_gb : 0;
@@ -107,7 +108,7 @@
     }
 }
 
-bool has_image(const machine *m, const char *image)
+bool mv_has_image(const machine *m, const char *image)
 {
     for (GList *l = m->images->head; l; l = l->next)
         if (strcmp(((cached_image *)l->data)->name, image) == 0)
@@ -117,7 +118,7 @@
 
 /* Reports do not list cached images: a task seen running proves its image, and the least recently
  * used ones go first once the type's local room is full. */
-void touch_image(mv_core *c, machine *m, const char *image, double gb)
+static void touch_image(mv_core *c, machine *m, const char *image, double gb)
 {
     for (GList *l = m->images->head; l; l = l->next)
         if (strcmp(((cached_image *)l->data)->name, image) == 0) {
@@ -129,7 +130,7 @@
     g_strlcpy(img->name, image, sizeof img->name);
     img->gb = gb;
     g_queue_push_head(m->images, img);
-    const mv_type *t = type_of(c, m);
+    const mv_type *t = mv_type_of(c, m);
     double sum = 0;
     for (GList *l = m->images->head; l; l = l->next)
         sum += ((cached_image *)l->data)->gb;
@@ -142,7 +143,7 @@
 
 /* --- placements --- */
 
-void drop_placement(mv_core *c, machine *m, guint index, bool requeue)
+static void drop_placement(mv_core *c, machine *m, guint index, bool requeue)
 {
     placement *p = g_ptr_array_index(m->placements, index);
     job *j = g_hash_table_lookup(c->jobs, p->job);
@@ -154,7 +155,7 @@
         j->n_placed--;
         j->n_running -= p->running_at > 0;
         if (requeue && j->state[p->piece] == T_PLACED) {
-            task_requeue(c, j, p->piece);
+            mv_task_requeue(c, j, p->piece);
             c->counts.requeued++;
         }
     }
@@ -201,8 +202,8 @@
     p->piece = piece->piece;
     p->attempt = piece->attempt;
     p->adopted = true;
-    job_unwait(j, piece->piece);
-    note_placed(c, m, j, p);
+    mv_job_unwait(j, piece->piece);
+    mv_note_placed(c, m, j, p);
     return p;
 }
 
@@ -216,8 +217,7 @@
     /* One job may be at fault itself; several point at the machine. */
     if (g_hash_table_size(m->failed_jobs) >= MV_FAULTY_JOBS && !m->faulty) {
         m->faulty = true;
-        mv_info("machine_faulty", "machine=%s jobs=%u", m->id,
-                g_hash_table_size(m->failed_jobs));
+        mv_info("machine_faulty", "machine=%s jobs=%u", m->id, g_hash_table_size(m->failed_jobs));
     }
 }
 
@@ -235,12 +235,12 @@
     if (piece->cause == MV_WHY_DONE) {
         if (ours) {
             if (p->running_at > 0 && !p->adopted)
-                learn(c, m, j, c->now - p->running_at);
+                mv_learn(c, m, j, c->now - p->running_at);
             touch_image(c, m, j->spec.bundle, j->spec.pull_gb);
         }
         if (ours)
             drop_placement(c, m, (guint)at, false);
-        task_done(c, j, piece->piece);
+        mv_task_done(c, j, piece->piece);
         /* Stored first: until then this report is the only proof. */
         if (j->state[piece->piece] == T_STORED)
             add_clear(m, orders, piece);
@@ -267,7 +267,7 @@
         add_order(orders, MV_STOP, piece, 0);
         return;
     }
-    if (!p && j && job_mine(c, j) && j->state[piece->piece] == T_WAIT)
+    if (!p && j && mv_job_mine(c, j) && j->state[piece->piece] == T_WAIT)
         p = adopt_piece(c, m, j, piece);
     if (!p) {
         /* Of an ended job, or a second copy, or done already: it may not go on. */
@@ -365,7 +365,7 @@
     m->lost = false;
     g_strlcpy(m->address, r->address, sizeof m->address);
     m->recall_at = r->recall_s >= 0 ? c->now + r->recall_s : 0;
-    if (r->baton < token(m)) {
+    if (r->baton < mv_token(m)) {
         m->wants_command = true; /* shows the worker our token, and us its tasks */
         return;
     }
@@ -376,7 +376,7 @@
     for (size_t i = 0; i < r->n_pieces; i++) {
         const mv_piece *piece = &r->pieces[i];
         job *j = g_hash_table_lookup(c->jobs, piece->job);
-        if (j && (piece->piece >= j->spec.pieces || !job_mine(c, j)))
+        if (j && (piece->piece >= j->spec.pieces || !mv_job_mine(c, j)))
             j = NULL;
         if (piece->status == MV_ENDED)
             piece_ended(c, m, j, piece, orders);
@@ -403,13 +403,13 @@
 
 static void unknown_machine(mv_core *c, const mv_report *r, mv_report_answer *a)
 {
-    if (leads(c)) {
-        mv_member b = {.loaners = r->loaners, .at = wall(c)};
+    if (mv_leads(c)) {
+        mv_member b = {.loaners = r->loaners, .at = mv_wall(c)};
         g_strlcpy(b.id, r->host, sizeof b.id);
         g_strlcpy(b.address, r->address, sizeof b.address);
         g_strlcpy(b.hull, r->hull, sizeof b.hull);
         g_strlcpy(b.yard, r->yard, sizeof b.yard);
-        fleet_adopt(c, &b);
+        mv_fleet_adopt(c, &b);
         a->status = 503;
         return;
     }
@@ -433,28 +433,28 @@
     m->heard_any_at = c->now;
     if (!m->address[0])
         g_strlcpy(m->address, r->address, sizeof m->address);
-    if (!holds(c, m->shard) || r->baton > token(m)) {
+    if (!mv_holds(c, m->shard) || r->baton > mv_token(m)) {
         bool other = strcmp(m->shard->holder.node, c->conf->node_name) != 0;
         steer(other ? m->shard->holder.node : NULL, a);
         return;
     }
     a->status = 200;
-    a->baton = token(m);
+    a->baton = mv_token(m);
     a->orders = g_array_new(FALSE, TRUE, sizeof(mv_order));
     if (!newer(m, r)) /* a late copy: proves nothing, and its answer will be dropped */
         return;
     read_report(c, m, r, a->orders);
-    settle(c);
+    mv_settle(c);
 }
 
 /* --- direct commands --- */
 
 static void command(mv_core *c, machine *m, GArray *orders)
 {
-    mv_action *a = act(c, MV_ACT_COMMAND);
+    mv_action *a = mv_act(c, MV_ACT_COMMAND);
     g_strlcpy(a->machine, m->id, sizeof a->machine);
     g_strlcpy(a->address, m->address, sizeof a->address);
-    a->baton = token(m);
+    a->baton = mv_token(m);
     a->tenure = MAX(m->tenure, 1);
     a->orders = orders;
     m->command_id = a->id;
@@ -483,12 +483,12 @@
     return orders;
 }
 
-void flush_commands(mv_core *c)
+void mv_flush_commands(mv_core *c)
 {
     for (guint i = 0; i < c->turn->len; i++) {
         machine *m = g_ptr_array_index(c->turn, i);
-        if (!m->wants_command || m->command_id || !m->address[0] ||
-            c->now < m->no_command_until || !m->shard || !holds(c, m->shard))
+        if (!m->wants_command || m->command_id || !m->address[0] || c->now < m->no_command_until ||
+            !m->shard || !mv_holds(c, m->shard))
             continue;
         m->wants_command = false;
         GArray *orders = urgent_orders(c, m);
@@ -542,7 +542,7 @@
         return;
     }
     m->command_fails = 0;
-    if (!m->shard || !holds(c, m->shard) || r->baton > token(m))
+    if (!m->shard || !mv_holds(c, m->shard) || r->baton > mv_token(m))
         return;
     if (newer(m, r)) {
         g_autoptr(GArray) orders = g_array_new(FALSE, TRUE, sizeof(mv_order));
@@ -556,7 +556,7 @@
         placement *p = g_ptr_array_index(m->placements, i);
         m->wants_command = m->wants_command || (!p->seen && !p->sent_direct);
     }
-    settle(c);
+    mv_settle(c);
 }
 
 /* --- time --- */
@@ -580,8 +580,7 @@
     if (m->pace < MV_CRAWL_PACE || m->faulty)
         return;
     m->faulty = true;
-    mv_info("machine_crawls", "machine=%s pace=%.1f pieces=%u", m->id, m->pace,
-            m->placements->len);
+    mv_info("machine_crawls", "machine=%s pace=%.1f pieces=%u", m->id, m->pace, m->placements->len);
     for (guint i = 0; i < m->placements->len; i++) {
         placement *p = g_ptr_array_index(m->placements, i);
         p->stopping = p->stopping || p->seen;
@@ -590,7 +589,7 @@
     c->want_round = true;
 }
 
-bool is_slow(const machine *m)
+bool mv_is_slow(const machine *m)
 {
     return m->pace > MV_SLOW_PACE;
 }
@@ -602,9 +601,9 @@
     double interval = c->conf->report_s;
     double quiet = c->now - MAX(MAX(m->heard_at, m->shard->taken_at), m->rented_at);
     /* After a take-over ask at once rather than wait for the worker to find us. */
-    if (!m->confirmed && m->address[0] && (m->heard_any_at || may_hold_tasks(m)))
+    if (!m->confirmed && m->address[0] && (m->heard_any_at || mv_may_hold_tasks(m)))
         m->wants_command = true;
-    bool expected = m->heard_at > 0 || may_hold_tasks(m);
+    bool expected = m->heard_at > 0 || mv_may_hold_tasks(m);
     /* A report may be lost and its repetition go to a sibling first: ask before judging. */
     if (expected && quiet > MV_PROBE_REPORTS * interval && m->address[0])
         m->wants_command = m->probe = true;
@@ -633,11 +632,11 @@
     }
 }
 
-void machines_tick(mv_core *c)
+void mv_machines_tick(mv_core *c)
 {
     for (guint i = 0; i < c->turn->len; i++) {
         machine *m = g_ptr_array_index(c->turn, i);
-        if (m->shard && holds(c, m->shard))
+        if (m->shard && mv_holds(c, m->shard))
             watch_machine(c, m);
     }
 }
--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -7,7 +7,7 @@
 
 /* --- records --- */
 
-void record_node(mv_core *c, const char *name, const msgpack_object *o, uint64_t stamp)
+void mv_record_node(mv_core *c, const char *name, const msgpack_object *o, uint64_t stamp)
 {
     mv_holder h;
     if (!o || !mv_holder_parse(o, &h)) {
@@ -22,7 +22,7 @@
     g_hash_table_replace(c->nodes, n->node, n);
 }
 
-shard *shard_get(mv_core *c, unsigned index)
+static shard *shard_get(mv_core *c, unsigned index)
 {
     while (c->shards->len <= index) {
         shard *s = g_new0(shard, 1);
@@ -55,16 +55,16 @@
     g_hash_table_iter_init(&it, c->machines);
     while (g_hash_table_iter_next(&it, NULL, &v))
         if (((machine *)v)->shard == s)
-            reset_machine(c, v);
+            mv_reset_machine(c, v);
     g_hash_table_iter_init(&it, c->jobs);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         job *j = v;
         if (j->team && j->team->shard == s)
-            job_reset(c, j);
+            mv_job_reset(c, j);
     }
 }
 
-void record_shard(mv_core *c, unsigned index, const msgpack_object *o, uint64_t stamp)
+void mv_record_shard(mv_core *c, unsigned index, const msgpack_object *o, uint64_t stamp)
 {
     shard *s = shard_get(c, index);
     mv_holder h;
@@ -94,7 +94,7 @@
     s->mine = mine;
 }
 
-void record_block(mv_core *c, unsigned index, const msgpack_object *o, uint64_t stamp)
+void mv_record_block(mv_core *c, unsigned index, const msgpack_object *o, uint64_t stamp)
 {
     shard *s = shard_get(c, index);
     s->block_stamp = o ? stamp : 0;
@@ -104,7 +104,7 @@
         const mv_member *b = &g_array_index(members, mv_member, i);
         machine *m = g_hash_table_lookup(c->machines, b->id);
         if (!m)
-            m = machine_new(c, b->id);
+            m = mv_machine_new(c, b->id);
         g_hash_table_add(present, m->id);
         if (b->address[0])
             g_strlcpy(m->address, b->address, sizeof m->address);
@@ -114,8 +114,8 @@
         if (m->shard == s && m->member_term == b->term)
             continue;
         if (m->shard != s) {
-            reset_machine(c, m);
-            m->rented_at = from_wall(c, b->at);
+            mv_reset_machine(c, m);
+            m->rented_at = mv_from_wall(c, b->at);
             /* It entered the block under our grant: nothing of this block can be on it. */
             m->fresh = s->stamp != 0 && stamp > s->grant_stamp && c->synced;
         }
@@ -134,10 +134,10 @@
             g_ptr_array_add(left, m);
     }
     for (guint i = 0; i < left->len; i++)
-        machine_left(c, g_ptr_array_index(left, i));
+        mv_machine_left(c, g_ptr_array_index(left, i));
 }
 
-void record_used(mv_core *c, unsigned index, const msgpack_object *o, uint64_t stamp)
+void mv_record_used(mv_core *c, unsigned index, const msgpack_object *o, uint64_t stamp)
 {
     shard *s = shard_get(c, index);
     s->used_stamp = o ? stamp : 0;
@@ -161,16 +161,16 @@
 {
     const node_entry *me = g_hash_table_lookup(c->nodes, c->conf->node_name);
     if ((me && me->incarnation == c->incarnation) ||
-        pending(&c->node_txn, c->node_txn_at, c->now))
+        mv_pending(&c->node_txn, c->node_txn_at, c->now))
         return;
     char key[MV_KEY_SIZE];
     g_snprintf(key, sizeof key, K_NODE "%s", c->conf->node_name);
     mv_holder h = {.incarnation = c->incarnation};
     g_strlcpy(h.node, c->conf->node_name, sizeof h.node);
-    mv_action *a = txn(c, true);
+    mv_action *a = mv_txn(c, true);
     /* An entry of our own predecessor is overwritten: we are its only heir. */
-    txn_if(a, key, me ? me->stamp : 0);
-    txn_set(a, key, mv_holder_pack(&h), true);
+    mv_txn_if(a, key, me ? me->stamp : 0);
+    mv_txn_set(a, key, mv_holder_pack(&h), true);
     c->node_txn = a->id;
     c->node_txn_at = c->now;
 }
@@ -179,15 +179,15 @@
 {
     bool heir = c->leader_stamp && strcmp(c->leader.node, c->conf->node_name) == 0 &&
                 c->leader.incarnation != c->incarnation;
-    if ((c->leader_stamp && !heir) || pending(&c->leader_txn, c->leader_txn_at, c->now))
+    if ((c->leader_stamp && !heir) || mv_pending(&c->leader_txn, c->leader_txn_at, c->now))
         return;
     mv_holder h = {.incarnation = c->incarnation, .term = c->term + 1};
     g_strlcpy(h.node, c->conf->node_name, sizeof h.node);
-    mv_action *a = txn(c, true);
-    txn_if(a, K_LEADER, c->leader_stamp);
-    txn_if(a, K_TERM, c->term_stamp);
-    txn_set(a, K_LEADER, mv_holder_pack(&h), true);
-    txn_set(a, K_TERM, mv_counter_pack(h.term), false);
+    mv_action *a = mv_txn(c, true);
+    mv_txn_if(a, K_LEADER, c->leader_stamp);
+    mv_txn_if(a, K_TERM, c->term_stamp);
+    mv_txn_set(a, K_LEADER, mv_holder_pack(&h), true);
+    mv_txn_set(a, K_TERM, mv_counter_pack(h.term), false);
     c->leader_txn = a->id;
     c->leader_txn_at = c->now;
 }
@@ -224,8 +224,7 @@
         const node_entry *n = v;
         if (not_this && strcmp(n->node, not_this) == 0)
             continue;
-        unsigned load =
-            load_of(c, n->node) + GPOINTER_TO_UINT(g_hash_table_lookup(extra, n->node));
+        unsigned load = load_of(c, n->node) + GPOINTER_TO_UINT(g_hash_table_lookup(extra, n->node));
         bool me = strcmp(n->node, c->conf->node_name) == 0;
         if (!best || load < best_load || (load == best_load && me)) {
             best = n;
@@ -303,14 +302,15 @@
  * machines that are silent, and going round would only keep that from being noticed. */
 static bool resigned(const mv_core *c, const shard *s)
 {
-    return s->passed_on + 1 < g_hash_table_size(c->nodes) && s->demand && s->demand->resign && s->demand_got_at > s->taken_at + MV_RESIGN_S &&
+    return s->passed_on + 1 < g_hash_table_size(c->nodes) && s->demand && s->demand->resign &&
+           s->demand_got_at > s->taken_at + MV_RESIGN_S &&
            c->now < s->demand_got_at + MV_DEMAND_OLD_S;
 }
 
 /* One transaction grants every shard that has no live holder, each under a new term. */
 static void grant(mv_core *c)
 {
-    if (pending(&c->grant_txn, c->grant_txn_at, c->now) || g_hash_table_size(c->nodes) == 0)
+    if (mv_pending(&c->grant_txn, c->grant_txn_at, c->now) || g_hash_table_size(c->nodes) == 0)
         return;
     unsigned n = c->shards->len ? c->shards->len : wanted_shards(c);
     n = MIN(n, c->conf->txn_ops - 1);
@@ -326,8 +326,8 @@
         holders[i] = s->holder;
         holders[i].teams = copy_teams(s->holder.teams);
         bool dead = !s->stamp || !live(c, &s->holder);
-        const node_entry *to = dead             ? least_loaded(c, extra, NULL)
-                               : resigned(c, s) ? least_loaded(c, extra, s->holder.node)
+        const node_entry *to = dead              ? least_loaded(c, extra, NULL)
+                               : resigned(c, s)  ? least_loaded(c, extra, s->holder.node)
                                : (int)i == moved ? moved_to
                                                  : NULL;
         if (!to)
@@ -347,17 +347,17 @@
             holders[i].term = ++term;
         }
     if (any) {
-        mv_action *a = txn(c, true);
-        txn_if(a, K_LEADER, c->leader_stamp);
-        txn_if(a, K_TERM, c->term_stamp);
-        txn_set(a, K_TERM, mv_counter_pack(term), false);
+        mv_action *a = mv_txn(c, true);
+        mv_txn_if(a, K_LEADER, c->leader_stamp);
+        mv_txn_if(a, K_TERM, c->term_stamp);
+        mv_txn_set(a, K_TERM, mv_counter_pack(term), false);
         for (unsigned i = 0; i < n; i++) {
             char key[MV_KEY_SIZE];
             g_snprintf(key, sizeof key, K_SHARD "%u", i);
             if (!change[i])
                 continue;
-            txn_if(a, key, ((shard *)g_ptr_array_index(c->shards, i))->stamp);
-            txn_set(a, key, mv_holder_pack(&holders[i]), false);
+            mv_txn_if(a, key, ((shard *)g_ptr_array_index(c->shards, i))->stamp);
+            mv_txn_set(a, key, mv_holder_pack(&holders[i]), false);
         }
         c->grant_txn = a->id;
         c->grant_txn_at = c->now;
@@ -366,16 +366,16 @@
         mv_holder_clear(&holders[i]);
 }
 
-void membership_tick(mv_core *c)
+void mv_membership_tick(mv_core *c)
 {
-    if (!session_ok(c))
+    if (!mv_session_ok(c))
         return;
     announce(c);
     const node_entry *me = g_hash_table_lookup(c->nodes, c->conf->node_name);
     if (!me || me->incarnation != c->incarnation)
         return;
     stand_for_leader(c);
-    if (leads(c))
+    if (mv_leads(c))
         grant(c);
 }
 
@@ -385,7 +385,7 @@
  * wait for the others, which may still be booting. */
 static void record_use(mv_core *c, shard *s)
 {
-    if (pending(&s->used_txn, s->used_txn_at, c->now) || !session_ok(c))
+    if (mv_pending(&s->used_txn, s->used_txn_at, c->now) || !mv_session_ok(c))
         return;
     bool missing = false;
     unsigned stale = 0;
@@ -418,10 +418,10 @@
     char key[MV_KEY_SIZE], shard_key[MV_KEY_SIZE];
     g_snprintf(key, sizeof key, K_USED "%u", s->index);
     g_snprintf(shard_key, sizeof shard_key, K_SHARD "%u", s->index);
-    mv_action *a = txn(c, true);
-    txn_if(a, shard_key, s->stamp);
-    txn_if(a, key, s->used_stamp);
-    txn_set(a, key, mv_out_take(o), false);
+    mv_action *a = mv_txn(c, true);
+    mv_txn_if(a, shard_key, s->stamp);
+    mv_txn_if(a, key, s->used_stamp);
+    mv_txn_set(a, key, mv_out_take(o), false);
     s->used_txn = a->id;
     s->used_txn_at = c->now;
 }
@@ -434,19 +434,19 @@
     gpointer v;
     g_hash_table_iter_init(&it, c->machines);
     while (g_hash_table_iter_next(&it, NULL, &v))
-        if (((machine *)v)->shard == s && may_hold_tasks(v))
+        if (((machine *)v)->shard == s && mv_may_hold_tasks(v))
             return;
     s->rebuilt = true;
     c->want_round = true;
-    mv_info("rebuilt", "shard=%u term=%" G_GUINT64_FORMAT " after_s=%.2f", s->index,
-            s->holder.term, c->now - s->taken_at);
+    mv_info("rebuilt", "shard=%u term=%" G_GUINT64_FORMAT " after_s=%.2f", s->index, s->holder.term,
+            c->now - s->taken_at);
 }
 
-void holders_tick(mv_core *c)
+void mv_holders_tick(mv_core *c)
 {
     for (guint i = 0; i < c->shards->len; i++) {
         shard *s = g_ptr_array_index(c->shards, i);
-        if (!holds(c, s))
+        if (!mv_holds(c, s))
             continue;
         record_use(c, s);
         check_rebuilt(c, s);
--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -7,7 +7,7 @@
 #include <math.h>
 #include <string.h>
 
-void note_placed(mv_core *c, machine *m, job *j, placement *p)
+void mv_note_placed(mv_core *c, machine *m, job *j, placement *p)
 {
     g_strlcpy(p->job, j->spec.id, sizeof p->job);
     p->tenure = m->tenure;
@@ -42,15 +42,15 @@
     *cores = *cards = 0;
     for (guint i = 0; i < c->turn->len; i++) {
         const machine *m = g_ptr_array_index(c->turn, i);
-        const mv_type *t = type_of(c, m);
-        if (m->shard == s && t && !GUARD(UNKNOWN, !may_hold_tasks(m) && !m->strangers)) {
+        const mv_type *t = mv_type_of(c, m);
+        if (m->shard == s && t && !GUARD(UNKNOWN, !mv_may_hold_tasks(m) && !m->strangers)) {
             *cores += t->cores;
             *cards += t->cards;
         }
     }
 }
 
-double unknown_cores(const mv_core *c, const shard *s)
+double mv_unknown_cores(const mv_core *c, const shard *s)
 {
     double cores, cards;
     unknown_use(c, s, &cores, &cards);
@@ -75,9 +75,9 @@
     if (t->cpus_max <= 0 && t->gpus_max <= 0)
         return true;
     unknown_use(c, j->team->shard, &cores, &cards);
-    bool cores_fit = t->cpus_max <= 0 ||
-                     j->team->used_cores + cores + j->spec.cores + kept_free(c, j) <=
-                         t->cpus_max + MV_ROUNDING;
+    bool cores_fit =
+        t->cpus_max <= 0 ||
+        j->team->used_cores + cores + j->spec.cores + kept_free(c, j) <= t->cpus_max + MV_ROUNDING;
     bool cards_fit = t->gpus_max <= 0 ||
                      j->team->used_cards + cards + j->spec.cards <= t->gpus_max + MV_ROUNDING;
     return GUARD(LIMIT, cores_fit && cards_fit);
@@ -91,8 +91,8 @@
         return false;
     for (guint i = 0; i < c->turn->len; i++) {
         const machine *m = g_ptr_array_index(c->turn, i);
-        bool holds_none = m->shard != s || !may_hold_tasks(m) ||
-                          (type_of(c, m) && !allowed_on(c, j, m));
+        bool holds_none =
+            m->shard != s || !mv_may_hold_tasks(m) || (mv_type_of(c, m) && !mv_allowed_on(c, j, m));
         if (!GUARD(REBUILD, holds_none))
             return true;
     }
@@ -128,14 +128,14 @@
 static bool has_room(const mv_core *c, const job *j, const machine *m)
 {
     double cores, cards, ram, later_cores, later_cards, later_ram;
-    machine_free_room(c, m, &cores, &cards, &ram);
+    mv_machine_free_room(c, m, &cores, &cards, &ram);
     /* Room that others are being stopped for is not for whoever comes next. */
-    coming_room(c, m, &later_cores, &later_cards, &later_ram);
-    return fits(j, MIN(cores, later_cores), MIN(cards, later_cards), MIN(ram, later_ram));
+    mv_coming_room(c, m, &later_cores, &later_cards, &later_ram);
+    return mv_fits(j, MIN(cores, later_cores), MIN(cards, later_cards), MIN(ram, later_ram));
 }
 
 /* The shortest time within which an aim wants this job's tasks started; G_MAXDOUBLE: none. */
-double start_aim(const mv_core *c, const job *j)
+double mv_start_aim(const mv_core *c, const job *j)
 {
     double aim = G_MAXDOUBLE;
     for (size_t i = 0; i < c->conf->n_objectives; i++) {
@@ -152,26 +152,27 @@
  * that should start within seconds has few to give away. */
 static double image_wait(const mv_core *c, const job *j, const machine *m)
 {
-    const mv_type *t = type_of(c, m);
+    const mv_type *t = mv_type_of(c, m);
     double fetch = t && t->pull_rate > 0 ? j->spec.pull_gb / t->pull_rate : 0;
-    double limit = MIN(c->conf->tune.image_wait_s, MV_START_SHARE * start_aim(c, j));
+    double limit = MIN(c->conf->tune.image_wait_s, MV_START_SHARE * mv_start_aim(c, j));
     return MIN(limit, fetch);
 }
 
-/* What a machine is worth to a task: that it keeps pace with its fellows, then its image's bytes cached there, then, for work that must start
- * soon, how quickly it could be fetched, then, for a task smaller than others about, how little room
- * would be left. Strictly in turn, two-core tasks came to sit on every
- * machine and tasks of a machine's size fitted nowhere, with half of the cores free. */
+/* What a machine is worth to a task: that it keeps pace with its fellows, then its image's bytes
+ * cached there, then, for work that must start soon, how quickly it could be fetched, then, for a
+ * task smaller than others about, how little room would be left. Strictly in turn, two-core tasks
+ * came to sit on every machine and tasks of a machine's size fitted nowhere, with half of the cores
+ * free. */
 typedef struct {
     bool slow;
     double bytes, fetch, left;
 } worth;
 
 /* Seconds until the image would be there; a fetch that is under way for another task counts. */
-double fetch_left(const mv_core *c, const job *j, const machine *m)
+double mv_fetch_left(const mv_core *c, const job *j, const machine *m)
 {
-    const mv_type *t = type_of(c, m);
-    if (has_image(m, j->spec.bundle) || !t || t->pull_rate <= 0)
+    const mv_type *t = mv_type_of(c, m);
+    if (mv_has_image(m, j->spec.bundle) || !t || t->pull_rate <= 0)
         return 0;
     double left = j->spec.pull_gb / t->pull_rate;
     for (guint i = 0; i < m->placements->len; i++) {
@@ -185,12 +186,12 @@
 
 static worth worth_of(const mv_core *c, const job *j, const machine *m)
 {
-    worth w = {.slow = is_slow(m),
-               .bytes = has_image(m, j->spec.bundle) ? MAX(j->spec.pull_gb, MV_ROUNDING) : 0};
-    w.fetch = starts_soon(c, j) ? fetch_left(c, j, m) : 0;
+    worth w = {.slow = mv_is_slow(m),
+               .bytes = mv_has_image(m, j->spec.bundle) ? MAX(j->spec.pull_gb, MV_ROUNDING) : 0};
+    w.fetch = mv_starts_soon(c, j) ? mv_fetch_left(c, j, m) : 0;
     double cards, ram;
     if (j->spec.cores < c->large_cores)
-        machine_free_room(c, m, &w.left, &cards, &ram);
+        mv_machine_free_room(c, m, &w.left, &cards, &ram);
     return w;
 }
 
@@ -214,8 +215,8 @@
     for (guint k = 0; k < c->turn->len; k++) {
         guint at = (c->next_turn + k) % c->turn->len;
         machine *m = g_ptr_array_index(c->turn, at);
-        if (m->shard != j->team->shard || !usable(c, m) || c->now < m->no_room_until ||
-            !allowed_on(c, j, m))
+        if (m->shard != j->team->shard || !mv_usable(c, m) || c->now < m->no_room_until ||
+            !mv_allowed_on(c, j, m))
             continue;
         worth w = worth_of(c, j, m);
         cached_somewhere = cached_somewhere || w.bytes > 0;
@@ -240,14 +241,14 @@
     p->piece = g_array_index(j->waiting, uint32_t, last);
     g_array_set_size(j->waiting, last);
     /* The term makes attempts of successive owners differ, the counter those of one owner. */
-    p->attempt = (token(m) << MV_ATTEMPT_BITS) | (++c->attempts & ((1u << MV_ATTEMPT_BITS) - 1));
-    note_placed(c, m, j, p);
+    p->attempt = (mv_token(m) << MV_ATTEMPT_BITS) | (++c->attempts & ((1u << MV_ATTEMPT_BITS) - 1));
+    mv_note_placed(c, m, j, p);
     if (rush(c, j))
         j->team->soon_used += p->cores;
     m->wants_command = true;
     c->counts.placed++;
-    mv_debug("place", "piece=%s/%u machine=%s waited_s=%.2f cached=%d", j->spec.id, p->piece,
-             m->id, c->now - j->ready_at, has_image(m, j->spec.bundle));
+    mv_debug("place", "piece=%s/%u machine=%s waited_s=%.2f cached=%d", j->spec.id, p->piece, m->id,
+             c->now - j->ready_at, mv_has_image(m, j->spec.bundle));
 }
 
 /* --- order --- */
@@ -316,10 +317,10 @@
         sum[t] += j->spec.cores * (j->spec.pieces - j->n_done);
         j->guaranteed = j->team->conf->cpus > 0 && sum[t] <= j->team->conf->cpus + MV_ROUNDING;
         double due = due_at(c, j);
-        j->slack = due == G_MAXDOUBLE ? due : due - c->now - job_guess(c, j);
+        j->slack = due == G_MAXDOUBLE ? due : due - c->now - mv_job_guess(c, j);
         j->doomed = j->slack < 0;
         note_soon(c, j);
-        j->work = j->spec.cores * j->waiting->len * job_guess(c, j);
+        j->work = j->spec.cores * j->waiting->len * mv_job_guess(c, j);
     }
 }
 
@@ -333,7 +334,7 @@
     }
 }
 
-void place_round(mv_core *c)
+void mv_place_round(mv_core *c)
 {
     c->counts.rounds++;
     g_autoptr(GPtrArray) jobs = g_ptr_array_new();
@@ -343,14 +344,14 @@
     g_hash_table_iter_init(&it, c->jobs);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         job *j = v;
-        if (!job_mine(c, j))
+        if (!mv_job_mine(c, j))
             continue;
         g_ptr_array_add(jobs, j);
         waiting += j->waiting->len;
         running += j->n_running;
     }
     judge(c, jobs);
-    preempt_begin(c);
+    mv_preempt_begin(c);
     g_ptr_array_sort(jobs, by_claim);
     for (guint i = 0; i < jobs->len; i++) {
         job *j = g_ptr_array_index(jobs, i);
@@ -358,7 +359,7 @@
             continue;
         fill_from(c, j);
         if (j->waiting->len)
-            preempt_for(c, j);
+            mv_preempt_for(c, j);
     }
     c->counts.waiting = waiting;
     c->counts.running = running;
--- a/src/coordination/preemption.c
+++ b/src/coordination/preemption.c
@@ -52,9 +52,9 @@
 }
 
 /* Room there will be once all that is told to stop has gone, less what is promised already. */
-void coming_room(const mv_core *c, const machine *m, double *cores, double *cards, double *ram)
+void mv_coming_room(const mv_core *c, const machine *m, double *cores, double *cards, double *ram)
 {
-    machine_free_room(c, m, cores, cards, ram);
+    mv_machine_free_room(c, m, cores, cards, ram);
     *cores -= m->promised_cores;
     *cards -= m->promised_cards;
     *ram -= m->promised_ram;
@@ -68,7 +68,7 @@
     }
 }
 
-bool fits(const job *j, double cores, double cards, double ram)
+bool mv_fits(const job *j, double cores, double cards, double ram)
 {
     return j->spec.cores <= cores + MV_ROUNDING && j->spec.cards <= cards + MV_ROUNDING &&
            j->spec.ram_gb <= ram + MV_ROUNDING;
@@ -79,10 +79,10 @@
                     double *lost)
 {
     double cores, cards, ram;
-    coming_room(c, m, &cores, &cards, &ram);
+    mv_coming_room(c, m, &cores, &cards, &ram);
     *lost = 0;
     for (guint n = 0;; n++) {
-        if (fits(j, cores, cards, ram))
+        if (mv_fits(j, cores, cards, ram))
             return (int)n;
         if (n == victims->len)
             return -1;
@@ -100,14 +100,14 @@
     double best_lost = 0;
     for (guint i = 0; i < c->turn->len; i++) {
         machine *m = g_ptr_array_index(c->turn, i);
-        if (m->shard != j->team->shard || !usable(c, m) || !allowed_on(c, j, m))
+        if (m->shard != j->team->shard || !mv_usable(c, m) || !mv_allowed_on(c, j, m))
             continue;
         double lost;
         g_autoptr(GArray) victims = victims_on(c, j, m);
         int n = price_of(c, j, m, victims, &lost);
         /* Where the image takes longer to come than the aim allows, the room is worth less. */
-        double fetch = fetch_left(c, j, m);
-        lost += fetch > start_aim(c, j) ? fetch * j->spec.cores : 0;
+        double fetch = mv_fetch_left(c, j, m);
+        lost += fetch > mv_start_aim(c, j) ? fetch * j->spec.cores : 0;
         if (n < 0 || (best && lost >= best_lost))
             continue;
         best = m;
@@ -132,9 +132,9 @@
 }
 
 /* Only work that is to start within seconds is worth the work it costs others. */
-bool starts_soon(const mv_core *c, const job *j)
+bool mv_starts_soon(const mv_core *c, const job *j)
 {
-    return start_aim(c, j) < MV_SOON_S;
+    return mv_start_aim(c, j) < MV_SOON_S;
 }
 
 static void promise(machine *m, const job *j)
@@ -152,7 +152,7 @@
     const team *t = j->team;
     double coming = t->used_cores - t->stopping_cores + t->promised_cores;
     return t->conf->cpus_max > 0 &&
-           coming + unknown_cores(c, t->shard) + j->spec.cores > t->conf->cpus_max + MV_ROUNDING;
+           coming + mv_unknown_cores(c, t->shard) + j->spec.cores > t->conf->cpus_max + MV_ROUNDING;
 }
 
 /* Room within the limit: the team's own work of lower urgency that loses least gives way. */
@@ -163,7 +163,7 @@
     double best_lost = 0;
     for (guint i = 0; i < c->turn->len; i++) {
         machine *m = g_ptr_array_index(c->turn, i);
-        if (m->shard != j->team->shard || !usable(c, m) || !allowed_on(c, j, m))
+        if (m->shard != j->team->shard || !mv_usable(c, m) || !mv_allowed_on(c, j, m))
             continue;
         for (guint k = 0; k < m->placements->len; k++) {
             placement *p = g_ptr_array_index(m->placements, k);
@@ -191,9 +191,9 @@
     return true;
 }
 
-void preempt_for(mv_core *c, job *j)
+void mv_preempt_for(mv_core *c, job *j)
 {
-    for (unsigned i = 0; starts_soon(c, j) && i < j->waiting->len; i++) {
+    for (unsigned i = 0; mv_starts_soon(c, j) && i < j->waiting->len; i++) {
         int count = 0;
         if (limit_short(c, j)) {
             if (!stop_own(c, j))
@@ -209,7 +209,7 @@
     }
 }
 
-void preempt_begin(mv_core *c)
+void mv_preempt_begin(mv_core *c)
 {
     for (size_t i = 0; i < c->conf->n_teams; i++)
         c->teams[i].stopping_cores = c->teams[i].promised_cores = 0;
--- a/src/protocol/messages.c
+++ b/src/protocol/messages.c
@@ -6,8 +6,7 @@
 
 static const char *const URGENCIES[] = {N_PROD, N_HIGH, N_STANDARD, N_IDLE};
 static const char *const STATUSES[] = {N_PULLING, N_RUNNING, N_SAVING, N_ENDED};
-static const char *const CAUSES[] = {"",      N_DONE,    N_STOPPED, N_ERROR,
-                                     N_NO_ROOM, N_BUSY, N_UNKNOWN};
+static const char *const CAUSES[] = {"", N_DONE, N_STOPPED, N_ERROR, N_NO_ROOM, N_BUSY, N_UNKNOWN};
 static const char *const VERBS[] = {N_LAUNCH, N_STOP, N_CLEAR};
 
 static int word(const msgpack_object *o, const char *const *words, int n)
@@ -314,6 +313,16 @@
     return mv_out_take(o);
 }
 
+bool mv_get_machine(const msgpack_object *o, char id[MV_NAME_SIZE], char address[64],
+                    char hull[MV_NAME_SIZE], char yard[MV_NAME_SIZE], bool *loaners)
+{
+    mv_get_text(o, N_ADDRESS, address, 64);
+    mv_get_text(o, N_HULL, hull, MV_NAME_SIZE);
+    mv_get_text(o, N_YARD, yard, MV_NAME_SIZE);
+    mv_get_bool(o, N_LOANERS, loaners);
+    return mv_get_text(o, N_ID, id, MV_NAME_SIZE) == MV_GOT;
+}
+
 GArray *mv_list_parse(const msgpack_object *o, bool *more)
 {
     const msgpack_object_array *list = mv_get_list(o, N_HOSTS);
@@ -323,12 +332,8 @@
     for (uint32_t i = 0; i < list->size; i++) {
         const msgpack_object *item = &list->ptr[i];
         mv_listed m = {0};
-        if (mv_get_text(item, N_ID, m.id, MV_NAME_SIZE) != MV_GOT)
+        if (!mv_get_machine(item, m.id, m.address, m.hull, m.yard, &m.loaners))
             continue;
-        mv_get_text(item, N_ADDRESS, m.address, sizeof m.address);
-        mv_get_text(item, N_HULL, m.hull, MV_NAME_SIZE);
-        mv_get_text(item, N_YARD, m.yard, MV_NAME_SIZE);
-        mv_get_bool(item, N_LOANERS, &m.loaners);
         mv_get_num(item, N_AGE, &m.age_s);
         m.failed = mv_text_is(mv_get(item, N_STATUS), N_FAILED);
         m.booting = mv_text_is(mv_get(item, N_STATUS), N_BOOTING);
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -70,6 +70,9 @@
     double age_s;
 } mv_listed;
 
+/* What a listed machine and a block's member say alike; false without a name. */
+bool mv_get_machine(const msgpack_object *o, char id[MV_NAME_SIZE], char address[64],
+                    char hull[MV_NAME_SIZE], char yard[MV_NAME_SIZE], bool *loaners);
 bool mv_job_id_valid(const char *id);
 /* NULL on success, else what is wrong. The caller clears `out` either way. */
 const char *mv_job_parse(const msgpack_object *o, mv_job *out);
--- a/src/protocol/names.h
+++ b/src/protocol/names.h
@@ -73,7 +73,6 @@
 #define N_NO_ROOM "no_room"
 #define N_BUSY "busy"
 #define N_UNKNOWN "unknown"
-#define N_STORED "stored"
 #define N_ORDERS "orders"
 #define N_VERB "verb"
 #define N_LAUNCH "launch"
--- a/src/protocol/records.c
+++ b/src/protocol/records.c
@@ -73,12 +73,8 @@
     for (uint32_t i = 0; i < list->size; i++) {
         const msgpack_object *item = &list->ptr[i];
         mv_member m = {0};
-        if (mv_get_text(item, N_ID, m.id, MV_NAME_SIZE) != MV_GOT)
+        if (!mv_get_machine(item, m.id, m.address, m.hull, m.yard, &m.loaners))
             continue;
-        mv_get_text(item, N_ADDRESS, m.address, sizeof m.address);
-        mv_get_text(item, N_HULL, m.hull, MV_NAME_SIZE);
-        mv_get_text(item, N_YARD, m.yard, MV_NAME_SIZE);
-        mv_get_bool(item, N_LOANERS, &m.loaners);
         mv_get_u64(item, R_TERM, &m.term);
         mv_get_num(item, R_AT, &m.at);
         g_array_append_val(out, m);
--- a/src/service/daemon.c
+++ b/src/service/daemon.c
@@ -103,8 +103,7 @@
     until.tv_sec = (time_t)at;
     until.tv_nsec = (long)((at - (double)until.tv_sec) * 1e9);
     pthread_mutex_lock(&d->lock);
-    while (!d->stopping &&
-           pthread_cond_timedwait(&d->stop_cond, &d->lock, &until) == 0)
+    while (!d->stopping && pthread_cond_timedwait(&d->stop_cond, &d->lock, &until) == 0)
         ;
     bool go_on = !d->stopping;
     pthread_mutex_unlock(&d->lock);
@@ -132,8 +131,8 @@
     do {
         double sent = steady(), now;
         uint64_t hold = 0;
-        mv_state_result r = have ? mv_state_session_renew(d->state)
-                                 : mv_state_session_open(d->state, &hold);
+        mv_state_result r =
+            have ? mv_state_session_renew(d->state) : mv_state_session_open(d->state, &hold);
         if (r == MV_STATE_OK && !have)
             mv_info("session", "hold=%" G_GUINT64_FORMAT, hold);
         if (r == MV_STATE_OK && !incarnation)
@@ -297,8 +296,8 @@
         g_autoptr(mv_doc) doc = answer.status ? mv_doc_parse(p, n) : NULL;
         mv_report report = {0};
         bool ok = doc && mv_report_parse(mv_doc_root(doc), &report);
-        mv_debug("command", "machine=%s status=%d orders=%u took_s=%.3f", a->machine,
-                 answer.status, a->orders->len, steady() - began);
+        mv_debug("command", "machine=%s status=%d orders=%u took_s=%.3f", a->machine, answer.status,
+                 a->orders->len, steady() - began);
         mv_core *core = mv_daemon_enter(d, &now);
         mv_core_command_done(core, now, a->id, answer.status, ok ? &report : NULL);
         mv_daemon_leave(d);
@@ -317,9 +316,9 @@
     if (answer->status == 200 && doc)
         hosts = mv_hosts_parse(mv_doc_root(doc));
     else if (doc)
-        refused = answer->status == 400 ||
-                  (answer->status == 503 &&
-                   mv_text_is(mv_get(mv_doc_root(doc), N_ERROR), N_NO_CAPACITY));
+        refused =
+            answer->status == 400 ||
+            (answer->status == 503 && mv_text_is(mv_get(mv_doc_root(doc), N_ERROR), N_NO_CAPACITY));
     mv_core *core = mv_daemon_enter(d, &now);
     mv_core_rent_done(core, now, a->id, hosts, refused);
     mv_daemon_leave(d);
@@ -381,8 +380,7 @@
         const void *p = g_bytes_get_data(answer.body, &n);
         g_autoptr(mv_doc) doc = answer.status ? mv_doc_parse(p, n) : NULL;
         if (answer.status != 200)
-            mv_log_limited(MV_LOG_INFO, "cloud_refused", "path=%s status=%d", path,
-                           answer.status);
+            mv_log_limited(MV_LOG_INFO, "cloud_refused", "path=%s status=%d", path, answer.status);
         mv_doc *good = answer.status == 200 ? doc : NULL;
         if (a->kind == MV_ACT_RENT) {
             rent(d, a, &answer, doc);
--- a/src/service/status.c
+++ b/src/service/status.c
@@ -48,8 +48,7 @@
         mv_get_bool(m, N_LOANERS, &spot);
         printf("%-16s %-14s %-9s %-12s %8.0f %6.0f\n", text_of(m, N_ID, id, sizeof id),
                text_of(m, N_HULL, type, sizeof type), spot ? "spot" : "ordinary",
-               text_of(m, N_STATUS, status, sizeof status), num_of(m, N_AGE),
-               num_of(m, N_PIECES));
+               text_of(m, N_STATUS, status, sizeof status), num_of(m, N_AGE), num_of(m, N_PIECES));
     }
 }
 
--- a/src/storage/state.c
+++ b/src/storage/state.c
@@ -42,8 +42,8 @@
     for (;;) {
         pthread_mutex_lock(&s->lock);
         gint64 now = g_get_monotonic_time();
-        s->tokens = MIN(s->write_rate,
-                        s->tokens + (double)(now - s->filled_us) / 1e6 * s->write_rate);
+        s->tokens =
+            MIN(s->write_rate, s->tokens + (double)(now - s->filled_us) / 1e6 * s->write_rate);
         s->filled_us = now;
         double need = MIN(n + floor, s->write_rate);
         double missing = need - s->tokens;
@@ -240,12 +240,10 @@
 {
     char path[200];
     g_snprintf(path, sizeof path,
-               N_FOLLOW "?" N_STARTS "=" K_LIVE "&" N_AFTER "=%" G_GUINT64_FORMAT "&" N_WAIT
-                        "=%d",
+               N_FOLLOW "?" N_STARTS "=" K_LIVE "&" N_AFTER "=%" G_GUINT64_FORMAT "&" N_WAIT "=%d",
                *epoch, MV_FOLLOW_MS);
     g_autoptr(mv_doc) doc = NULL;
-    mv_state_result r =
-        call(s, "GET", path, NULL, MV_FOLLOW_MS + MV_STATE_TIMEOUT_MS, &doc);
+    mv_state_result r = call(s, "GET", path, NULL, MV_FOLLOW_MS + MV_STATE_TIMEOUT_MS, &doc);
     if (r != MV_STATE_OK)
         return r;
     const msgpack_object *root = mv_doc_root(doc);
--- a/src/storage/state.h
+++ b/src/storage/state.h
@@ -19,8 +19,7 @@
 
 /* A linearizable read. `data` is owned by the caller. */
 mv_state_result mv_state_get(mv_state *s, const char *key, GBytes **data, uint64_t *stamp);
-mv_state_result mv_state_txn(mv_state *s, const GArray *conds, const GArray *changes,
-                             bool urgent);
+mv_state_result mv_state_txn(mv_state *s, const GArray *conds, const GArray *changes, bool urgent);
 /* The session: one lease for all that should vanish with this process. */
 mv_state_result mv_state_session_open(mv_state *s, uint64_t *hold);
 mv_state_result mv_state_session_renew(mv_state *s);
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -303,9 +303,7 @@
         delay = 1.5;
     } else {
         int status = st_txn(s->state, c->a->conds, c->a->changes, c->hold);
-        c->outcome = status == 200   ? MV_TXN_OK
-                     : status == 409 ? MV_TXN_CONFLICT
-                                     : MV_TXN_UNKNOWN;
+        c->outcome = status == 200 ? MV_TXN_OK : status == 409 ? MV_TXN_CONFLICT : MV_TXN_UNKNOWN;
         if (chance(s, s->plan->lose)) {
             c->outcome = MV_TXN_UNKNOWN;
             delay = 1.5;
@@ -349,8 +347,7 @@
         later(s, 1.5, call_back, c);
         return;
     }
-    c->status =
-        st_worker_command(w, c->a->baton, c->a->tenure, c->a->orders, s->now, facts, s);
+    c->status = st_worker_command(w, c->a->baton, c->a->tenure, c->a->orders, s->now, facts, s);
     st_worker_report(w, &c->report);
     c->has_report = !chance(s, s->plan->lose);
     if (!c->has_report)
@@ -391,7 +388,8 @@
         g_hash_table_insert(s->hires, g_strdup(c->a->name), names);
         for (unsigned i = 0; i < c->a->number && machines_alive(s) < CAPACITY; i++) {
             rent_worker(s, c->a, names);
-            later(s, rnd(s, 0, 0.2), worker_step, g_ptr_array_index(s->workers, s->workers->len - 1));
+            later(s, rnd(s, 0, 0.2), worker_step,
+                  g_ptr_array_index(s->workers, s->workers->len - 1));
         }
     }
     if (names && !chance(s, s->plan->lose))
@@ -482,8 +480,8 @@
 
 static void drain(sim *s, node *n)
 {
-    static const event_fn doers[] = {do_txn,     do_command, do_rent,  do_release,
-                                     do_list,    do_types,   do_demand};
+    static const event_fn doers[] = {do_txn,  do_command, do_rent,  do_release,
+                                     do_list, do_types,   do_demand};
     mv_action *a;
     while ((a = mv_core_next(n->core))) {
         call *c = g_new0(call, 1);
@@ -638,8 +636,8 @@
     st_worker_run(w, s->now);
     guint at = worker_at(w);
     node *n = &s->nodes[at];
-    bool cut = s->now < n->worker_cut_until || s->now < w->cut_until || !n->up ||
-               chance(s, s->plan->lose);
+    bool cut =
+        s->now < n->worker_cut_until || s->now < w->cut_until || !n->up || chance(s, s->plan->lose);
     if (cut) {
         worker_go(w, (at + 1) % NODES);
         later(s, n->up ? 4 : 1, worker_step, w);
@@ -655,8 +653,8 @@
     drain(s, n);
     mv_report_clear(&report);
     if (r->answer.status != 200)
-        worker_go(w, r->answer.status == 421 ? steward(s, r->answer.steward, at)
-                                              : (at + 1) % NODES);
+        worker_go(w,
+                  r->answer.status == 421 ? steward(s, r->answer.steward, at) : (at + 1) % NODES);
     later(s, rnd(s, 0.001, 0.3), worker_reply, r);
 }
 
@@ -795,8 +793,8 @@
 static void die(sim *s, gpointer data)
 {
     if (s->workers->len)
-        ((st_worker *)g_ptr_array_index(
-             s->workers, (guint)g_rand_int_range(s->rand, 0, (gint)s->workers->len)))
+        ((st_worker *)g_ptr_array_index(s->workers,
+                                        (guint)g_rand_int_range(s->rand, 0, (gint)s->workers->len)))
             ->gone = true;
     if (s->now < s->plan->until)
         later(s, rnd(s, 0.2, 2) * s->plan->die, die, data);
@@ -806,8 +804,7 @@
 {
     if (s->workers->len) {
         gint at = g_rand_int_range(s->rand, 0, (gint)s->workers->len);
-        ((st_worker *)g_ptr_array_index(s->workers, (guint)at))->cut_until =
-            s->now + rnd(s, 3, 25);
+        ((st_worker *)g_ptr_array_index(s->workers, (guint)at))->cut_until = s->now + rnd(s, 3, 25);
     }
     if (s->now < s->plan->until)
         later(s, rnd(s, 0.2, 2) * s->plan->machine_cut, cut_machine, data);
@@ -904,8 +901,8 @@
     s.events = g_sequence_new(g_free);
     s.state = st_state_new();
     s.workers = g_ptr_array_new_with_free_func(st_worker_free);
-    s.hires = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                    (GDestroyNotify)g_ptr_array_unref);
+    s.hires =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
     s.jobs = g_array_new(FALSE, TRUE, sizeof(sim_job));
     for (guint i = 0; i < NODES; i++) {
         s.nodes[i].conf = make_settings(plan, (int)i);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -8,10 +8,11 @@
 typedef struct sim sim;
 
 typedef struct {
-    double crash, all_crash, state_cut, worker_cut, outage, die, machine_cut; /* mean seconds between; 0: never */
-    double lose, hold;                                         /* share of messages */
-    double cancel;                                             /* share of jobs */
-    double until, settle;                                      /* faults end; all must be done by */
+    double crash, all_crash, state_cut, worker_cut, outage, die,
+        machine_cut;      /* mean seconds between; 0: never */
+    double lose, hold;    /* share of messages */
+    double cancel;        /* share of jobs */
+    double until, settle; /* faults end; all must be done by */
     unsigned shards, jobs;
 } sim_plan;
 
--- a/tests/standins.h
+++ b/tests/standins.h
@@ -48,7 +48,7 @@
 
 typedef struct {
     char id[MV_NAME_SIZE], address[64], hull[MV_NAME_SIZE];
-    bool spot, gone, stuck; /* stuck: never boots */
+    bool spot, gone, stuck;  /* stuck: never boots */
     double up_at, cut_until; /* cut: it works on, but nobody reaches it */
     uint64_t tenure, tick, baton;
     double lease_from; /* when the last answered report was sent */
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -12,9 +12,9 @@
 static GBytes *submission(const char *skip, spoil with)
 {
     mv_out *o = mv_out_new();
-    static const char *const texts[][2] = {{N_ID, "j-000412"},    {N_LANE, "train"},
-                                           {N_CREW, "vision"},    {N_SHAPE, N_BATCH},
-                                           {N_URGENCY, N_HIGH},   {N_BUNDLE, "img-07"}};
+    static const char *const texts[][2] = {{N_ID, "j-000412"},  {N_LANE, "train"},
+                                           {N_CREW, "vision"},  {N_SHAPE, N_BATCH},
+                                           {N_URGENCY, N_HIGH}, {N_BUNDLE, "img-07"}};
     static const char *const numbers[] = {N_CORES, N_CARDS,      N_RAM,      N_PULL,
                                           N_GUESS, N_MARK_EVERY, N_MARK_COST};
     static const char *const flags[] = {N_TOGETHER, N_APART, N_LOANERS};
@@ -166,14 +166,14 @@
         const char *bytes;
         size_t n;
     } bad[] = {{"", 0},
-               {"\xc1", 1},                     /* never used */
-               {"\x81\xa1", 2},                 /* cut short */
-               {"\xc4\x01x", 3},                /* binary */
-               {"\xd4\x01x", 3},                /* extension */
-               {"\xdd\xff\xff\xff\xff", 5},     /* a list of four thousand million items */
-               {"\xdf\xff\xff\xff\xff", 5},     /* a map of as many */
-               {"\xdb\xff\xff\xff\xff", 5},     /* a text of as many */
-               {"\xc0\xc0", 2},                 /* two values */
+               {"\xc1", 1},                 /* never used */
+               {"\x81\xa1", 2},             /* cut short */
+               {"\xc4\x01x", 3},            /* binary */
+               {"\xd4\x01x", 3},            /* extension */
+               {"\xdd\xff\xff\xff\xff", 5}, /* a list of four thousand million items */
+               {"\xdf\xff\xff\xff\xff", 5}, /* a map of as many */
+               {"\xdb\xff\xff\xff\xff", 5}, /* a text of as many */
+               {"\xc0\xc0", 2},             /* two values */
                {"\x91\x91\x91\x91\x91\x91", 6}};
     for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
         g_assert_null(mv_doc_parse(bad[i].bytes, bad[i].n));
@@ -281,7 +281,12 @@
 static void job_ids(void)
 {
     g_assert_true(mv_job_id_valid("j-000412"));
-    static const char *const bad[] = {"", "j-", "j-12x", "k-000412", "j-000412/3", "J-000412",
+    static const char *const bad[] = {"",
+                                      "j-",
+                                      "j-12x",
+                                      "k-000412",
+                                      "j-000412/3",
+                                      "J-000412",
                                       "j-0000000000000000000000000000000000"};
     for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
         g_assert_false(mv_job_id_valid(bad[i]));
--- a/tests/test_processes.c
+++ b/tests/test_processes.c
@@ -71,8 +71,8 @@
     int status = s->fn(s->ctx, method, url, doc ? mv_doc_root(doc) : NULL, con, out);
     if (out->buf.size == 0)
         mv_put_map(out, 0);
-    struct MHD_Response *r = MHD_create_response_from_buffer(out->buf.size, out->buf.data,
-                                                             MHD_RESPMEM_MUST_COPY);
+    struct MHD_Response *r =
+        MHD_create_response_from_buffer(out->buf.size, out->buf.data, MHD_RESPMEM_MUST_COPY);
     mv_out_free(out);
     enum MHD_Result ok = MHD_queue_response(con, (unsigned)status, r);
     MHD_destroy_response(r);
@@ -92,10 +92,10 @@
 static struct MHD_Daemon *start_server(service *s, unsigned *port)
 {
     struct sockaddr_in addr = {.sin_family = AF_INET, .sin_addr = {htonl(INADDR_LOOPBACK)}};
-    struct MHD_Daemon *d = MHD_start_daemon(
-        MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, 0, NULL, NULL, on_request,
-        s, MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&addr, MHD_OPTION_NOTIFY_COMPLETED,
-        on_completed, NULL, MHD_OPTION_END);
+    struct MHD_Daemon *d =
+        MHD_start_daemon(MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, 0, NULL,
+                         NULL, on_request, s, MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&addr,
+                         MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL, MHD_OPTION_END);
     g_assert_nonnull(d);
     *port = MHD_get_daemon_info(d, MHD_DAEMON_INFO_BIND_PORT)->port;
     return d;
@@ -277,7 +277,7 @@
 
 static void put_report(mv_out *o, st_worker *w)
 {
-    static const char *const causes[] = {"",      N_DONE,    N_STOPPED, N_ERROR,
+    static const char *const causes[] = {"",        N_DONE, N_STOPPED, N_ERROR,
                                          N_NO_ROOM, N_BUSY, N_UNKNOWN};
     mv_report r;
     st_worker_report(w, &r);
@@ -641,8 +641,8 @@
     mv_http_client_init();
     state = st_state_new();
     workers = g_ptr_array_new();
-    hires = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                  (GDestroyNotify)g_ptr_array_unref);
+    hires =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
     struct MHD_Daemon *state_server = start_server(&state_service, &state_port);
     struct MHD_Daemon *cloud_server = start_server(&cloud_service, &cloud_port);
     g_autofree char *dir = g_dir_make_tmp("mv-XXXXXX", NULL);
--- a/tests/test_rules.c
+++ b/tests/test_rules.c
@@ -8,8 +8,7 @@
 
 mv_guard mv_broken_guard = MV_GUARD_NONE;
 
-static const sim_plan CALM = {
-    .cancel = 0.1, .until = 120, .settle = 200, .shards = 1, .jobs = 25};
+static const sim_plan CALM = {.cancel = 0.1, .until = 120, .settle = 200, .shards = 1, .jobs = 25};
 static const sim_plan ROUGH = {.crash = 25,
                                .all_crash = 90,
                                .state_cut = 40,
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -139,9 +139,9 @@
     g_assert_cmpuint(s->tune.shards, ==, 3);
     g_assert_cmpfloat(s->tune.idle_return_s, ==, MV_IDLE_RETURN_S);
     mv_settings_free(s);
-    static const char *const bad[] = {"image_wait_s: -1\n", "image_wait_s: soon\n", "shards: 5000\n",
-                                      "no_such_setting: 1\n", "- a\n- b\n",
-                                      "boot_factor: 0.2\n"};
+    static const char *const bad[] = {"image_wait_s: -1\n", "image_wait_s: soon\n",
+                                      "shards: 5000\n",     "no_such_setting: 1\n",
+                                      "- a\n- b\n",         "boot_factor: 0.2\n"};
     for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
         error[0] = 0;
         g_assert_null(load(GOOD, bad[i], error, sizeof error));
