--- a/tests/test_processes.c
+++ b/tests/test_processes.c
@@ -23,7 +23,7 @@
 static st_state *state;
 static GPtrArray *workers; /* live_worker */
 static GHashTable *hires;
-static bool stopping;
+static bool stopping, cloud_down;
 
 typedef int (*serve)(void *ctx, const char *method, const char *url, const msgpack_object *body,
                      struct MHD_Connection *con, mv_out *out);
@@ -425,7 +425,11 @@
     (void)ctx;
     (void)con;
     pthread_mutex_lock(&lock);
-    if (strcmp(url, N_TYPES) == 0) {
+    if (cloud_down) {
+        mv_put_map(out, 1);
+        mv_field_text(out, N_ERROR, "trouble");
+        status = 503;
+    } else if (strcmp(url, N_TYPES) == 0) {
         GArray *types = g_array_new(FALSE, TRUE, sizeof(mv_type));
         char yards[1][MV_NAME_SIZE] = {"z"};
         mv_type t = {.name = "big", .cores = 16, .ram_gb = 64, .local_gb = 50, .pull_rate = 1};
@@ -621,6 +625,37 @@
     wait_done("j-000001"); /* long over, still known */
 }
 
+/* Started while the cloud is silent, controllers take the machine types from the state service. */
+static void silent_cloud(void)
+{
+    pthread_mutex_lock(&lock);
+    cloud_down = true;
+    pthread_mutex_unlock(&lock);
+    for (unsigned i = 0; i < NODES; i++)
+        kill_node(i);
+    for (unsigned i = 0; i < NODES; i++)
+        start_node(i);
+    submit("j-000020");
+    pthread_mutex_lock(&lock);
+    cloud_down = false;
+    pthread_mutex_unlock(&lock);
+    wait_done("j-000020");
+}
+
+static void picture(void)
+{
+    g_autofree char *out = NULL;
+    g_autofree char *err = NULL;
+    char *argv[] = {MV_PROGRAM, "status", nodes[0].address, NULL};
+    int status = -1;
+    g_assert_true(
+        g_spawn_sync(NULL, argv, NULL, G_SPAWN_DEFAULT, NULL, NULL, &out, &err, &status, NULL));
+    g_assert_cmpint(status, ==, 0);
+    g_assert_nonnull(strstr(out, "leader       n"));
+    g_assert_nonnull(strstr(out, "red"));
+    g_assert_nonnull(strstr(out, "vm-000001"));
+}
+
 static void orderly_end(void)
 {
     for (unsigned i = 0; i < NODES; i++) {
@@ -658,6 +693,8 @@
     }
     g_test_add_func("/processes/answers", answers);
     g_test_add_func("/processes/kills", kills);
+    g_test_add_func("/processes/silent-cloud", silent_cloud);
+    g_test_add_func("/processes/picture", picture);
     g_test_add_func("/processes/orderly-end", orderly_end);
     int code = g_test_run();
     pthread_mutex_lock(&lock);
