--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -545,7 +545,7 @@
             for (guint k = 0; k < s->demand->wants->len; k++) {
                 const mv_want *w = &g_array_index(s->demand->wants, mv_want, k);
                 /* What the fleet will have done before another machine is up needs none. */
-                if (w->urgent != (pass == 0) || (little && has_place(c, w, s, bins)))
+                if (w->urgent != (pass == 0) || (little && !w->urgent && has_place(c, w, s, bins)))
                     continue;
                 unsigned left = pack(w, s, bins, w->count);
                 offer o;
