Jobs with a mistake of their own no longer condemn machines

Cause: a machine that failed tasks of two jobs was drained, but two mistaken jobs fail everywhere, so together they had the whole fleet returned. A failure now counts once the same job did well elsewhere, a success clears the machine, and a job tries machines where it failed last. Test: faulty-jobs, shown to fail before.

--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -86,7 +86,7 @@
     double no_room_until;
     double pace; /* run times here over those of the same jobs elsewhere, smoothed; 1: alike */
     double promised_cores, promised_cards, promised_ram; /* within a round, to urgent work */
-    GHashTable *failed_jobs;
+    GHashTable *failed_jobs; /* id -> whether the job did well elsewhere */
     /* the leader's view */
     bool listed, listed_failed, listed_booting, releasing;
     double listed_running_at;
--- a/src/coordination/machines.c
+++ b/src/coordination/machines.c
@@ -207,18 +207,39 @@
     return p;
 }
 
+/* A failure speaks against the machine only once the same job did well elsewhere; jobs with a
+ * mistake of their own fail everywhere, and two such jobs once condemned every machine they had
+ * touched. */
+static void judge_failures(mv_core *c, machine *m)
+{
+    guint proven = 0;
+    GHashTableIter it;
+    gpointer id, known;
+    g_hash_table_iter_init(&it, m->failed_jobs);
+    while (g_hash_table_iter_next(&it, &id, &known)) {
+        const job *j = g_hash_table_lookup(c->jobs, id);
+        if (j && j->n_done > 0) {
+            g_hash_table_iter_replace(&it, GUINT_TO_POINTER(1));
+            proven++;
+        } else if (known) {
+            proven++;
+        } else if (!j) {
+            g_hash_table_iter_remove(&it);
+        }
+    }
+    if (proven < MV_FAULTY_JOBS || m->faulty)
+        return;
+    m->faulty = true;
+    mv_info("machine_faulty", "machine=%s jobs=%u", m->id, proven);
+}
+
 static void note_failure(mv_core *c, machine *m, job *j)
 {
     c->counts.faults++;
     j->fails++;
     double pause = MV_RETRY_BASE_S * (1 << MIN(j->fails, 6u));
     j->backoff_until = c->now + MIN(pause, MV_RETRY_MAX_S);
-    g_hash_table_add(m->failed_jobs, g_strdup(j->spec.id));
-    /* One job may be at fault itself; several point at the machine. */
-    if (g_hash_table_size(m->failed_jobs) >= MV_FAULTY_JOBS && !m->faulty) {
-        m->faulty = true;
-        mv_info("machine_faulty", "machine=%s jobs=%u", m->id, g_hash_table_size(m->failed_jobs));
-    }
+    g_hash_table_insert(m->failed_jobs, g_strdup(j->spec.id), GUINT_TO_POINTER(0));
 }
 
 static void piece_ended(mv_core *c, machine *m, job *j, const mv_piece *piece, GArray *orders)
@@ -240,6 +261,7 @@
         }
         if (ours)
             drop_placement(c, m, (guint)at, false);
+        g_hash_table_remove_all(m->failed_jobs);
         mv_task_done(c, j, piece->piece);
         /* Stored first: until then this report is the only proof. */
         if (j->state[piece->piece] == T_STORED)
@@ -598,6 +620,7 @@
 {
     watch_pace(c, m);
     leave_crawling(c, m);
+    judge_failures(c, m);
     double interval = c->conf->report_s;
     double quiet = c->now - MAX(MAX(m->heard_at, m->shard->taken_at), m->rented_at);
     /* After a take-over ask at once rather than wait for the worker to find us. */
--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -164,7 +164,7 @@
  * came to sit on every machine and tasks of a machine's size fitted nowhere, with half of the cores
  * free. */
 typedef struct {
-    bool slow;
+    bool last; /* slower than its fellows, or a task of this job failed there */
     double bytes, fetch, left;
 } worth;
 
@@ -186,7 +186,7 @@
 
 static worth worth_of(const mv_core *c, const job *j, const machine *m)
 {
-    worth w = {.slow = mv_is_slow(m),
+    worth w = {.last = mv_is_slow(m) || g_hash_table_contains(m->failed_jobs, j->spec.id),
                .bytes = mv_has_image(m, j->spec.bundle) ? MAX(j->spec.pull_gb, MV_ROUNDING) : 0};
     w.fetch = mv_starts_soon(c, j) ? mv_fetch_left(c, j, m) : 0;
     double cards, ram;
@@ -197,8 +197,8 @@
 
 static bool better(const worth *a, const worth *b)
 {
-    if (a->slow != b->slow)
-        return b->slow;
+    if (a->last != b->last)
+        return b->last;
     if (a->bytes != b->bytes)
         return a->bytes > b->bytes;
     if (fabs(a->fetch - b->fetch) > MV_FETCH_STEP_S)
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -368,6 +368,7 @@
     g_autofree char *id = g_strdup_printf("vm-%06u", ++s->worker_names);
     st_worker *w = st_worker_new(id, a->hull, a->spot, s->nodes[0].conf->lease_s);
     g_strlcpy(w->address, id, sizeof w->address);
+    w->rented_at = s->now;
     w->up_at = s->now + (chance(s, 0.05) ? 1e9 : rnd(s, 1, 15));
     w->lease_from = w->up_at;
     w->changed = true;
@@ -404,6 +405,10 @@
         st_worker *w = worker_named(s, g_ptr_array_index(c->a->hosts, i));
         if (!w)
             continue;
+        /* Jobs that fail everywhere are no reason to return young machines that work. */
+        if (only_crashes(s->plan) && !s->plan->die && s->now > w->up_at &&
+            s->now < w->rented_at + 50)
+            broken(s, "returned %s too soon", w->id);
         /* Where nothing is cut and no machine dies, none that works may be given back. */
         if (!s->plan->die && !s->plan->hold && !s->plan->lose && !s->plan->machine_cut)
             for (guint k = 0; k < w->tasks->len && !w->gone; k++)
--- a/tests/standins.h
+++ b/tests/standins.h
@@ -49,7 +49,7 @@
 typedef struct {
     char id[MV_NAME_SIZE], address[64], hull[MV_NAME_SIZE];
     bool spot, gone, stuck;  /* stuck: never boots */
-    double up_at, cut_until; /* cut: it works on, but nobody reaches it */
+    double rented_at, up_at, cut_until; /* cut: it works on, but nobody reaches it */
     uint64_t tenure, tick, baton;
     double lease_from; /* when the last answered report was sent */
     double lease_s;
--- a/tests/test_rules.c
+++ b/tests/test_rules.c
@@ -75,6 +75,14 @@
     expect_sound(&plan, 71, 6);
 }
 
+static void faulty_jobs(void)
+{
+    sim_plan plan = CALM;
+    plan.cancel = 0.9; /* of which a third fail wherever they start */
+    plan.jobs = 60;
+    expect_sound(&plan, 91, 8);
+}
+
 static void late_messages(void)
 {
     sim_plan plan = CALM;
@@ -138,6 +146,7 @@
     g_test_add_func("/rules/rough-three-shards", rough_three_shards);
     g_test_add_func("/rules/crashes", crashes_only);
     g_test_add_func("/rules/cut-from-workers", cut_from_workers);
+    g_test_add_func("/rules/faulty-jobs", faulty_jobs);
     g_test_add_func("/rules/late-messages", late_messages);
     g_test_add_func("/guards/rebuild", guard_rebuild);
     g_test_add_func("/guards/unknown-use", guard_unknown);
