--- a/src/constants.h
+++ b/src/constants.h
@@ -6,6 +6,8 @@
 #define MV_MAX_BODY 65536     /* bytes: request bodies, and answers to workers and users */
 #define MV_MAX_PIECES 100000  /* tasks of a job */
 #define MV_KEY_SIZE 201       /* bytes of a key in the state service, with the final 0 */
+#define MV_MAX_ORDERS 400     /* orders in one answer: 64 KiB hold about 700 */
+#define MV_MAX_ON_MACHINE 300 /* tasks on a machine: its report must fit 64 KiB, ended ones too */
 #define MV_MAX_RENT 50        /* machines in one rental request */
 #define MV_MAX_RELEASE 100    /* names in one release request */
 #define MV_LIST_PAGE 500      /* machines on a page of the cloud's list */
--- a/src/coordination/machines.c
+++ b/src/coordination/machines.c
@@ -466,6 +466,9 @@
     if (!newer(m, r)) /* a late copy: proves nothing, and its answer will be dropped */
         return;
     read_report(c, m, r, a->orders);
+    /* What does not fit the answer follows from the next report. */
+    if (a->orders->len > MV_MAX_ORDERS)
+        g_array_set_size(a->orders, MV_MAX_ORDERS);
     mv_settle(c);
 }
 
@@ -488,7 +491,7 @@
 static GArray *urgent_orders(mv_core *c, machine *m)
 {
     GArray *orders = g_array_new(FALSE, TRUE, sizeof(mv_order));
-    for (guint i = 0; m->confirmed && i < m->placements->len; i++) {
+    for (guint i = 0; m->confirmed && i < m->placements->len && orders->len < MV_MAX_ORDERS; i++) {
         placement *p = g_ptr_array_index(m->placements, i);
         job *j = g_hash_table_lookup(c->jobs, p->job);
         if (j && !p->seen && !p->sent_direct && !p->stopping) {
--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -128,6 +128,8 @@
 static bool has_room(const mv_core *c, const job *j, const machine *m)
 {
     double cores, cards, ram, later_cores, later_cards, later_ram;
+    if (m->placements->len >= MV_MAX_ON_MACHINE)
+        return false;
     mv_machine_free_room(c, m, &cores, &cards, &ram);
     /* Room that others are being stopped for is not for whoever comes next. */
     mv_coming_room(c, m, &later_cores, &later_cards, &later_ram);
