--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -335,7 +335,6 @@
         return;
     g_clear_pointer(&c->types, g_array_unref);
     c->types = types;
-    c->types_at = now;
     GHashTableIter it;
     gpointer v;
     g_hash_table_iter_init(&it, c->machines);
@@ -404,11 +403,6 @@
     out->chunks = j->chunks;
 }
 
-unsigned mv_core_waiting(const mv_core *c)
-{
-    return c->counts.waiting;
-}
-
 void mv_core_counts_get(const mv_core *c, mv_core_counts *out)
 {
     *out = c->counts;
--- a/src/coordination/core.h
+++ b/src/coordination/core.h
@@ -136,7 +136,6 @@
 bool mv_core_in_session(const mv_core *core);
 bool mv_core_ready(const mv_core *core);
 bool mv_core_leads(const mv_core *core);
-unsigned mv_core_waiting(const mv_core *core);
 /* The picture for people: MessagePack map. */
 GBytes *mv_core_overview(const mv_core *core, double now);
 
--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -351,8 +351,7 @@
     for (guint i = 0; i < c->turn->len; i++) {
         machine *m = g_ptr_array_index(c->turn, i);
         const mv_note *n = m->shard ? note_of(m->shard, m->id) : NULL;
-        if (!m->shard || buried(c, m->id) || m->releasing ||
-            (n && (n->give_back || n->lost || n->leaving)))
+        if (!m->shard || buried(c, m->id) || (n && (n->give_back || n->lost || n->leaving)))
             continue;
         mv_type_of(c, m);
         add_bin(bins, c, m->type, m->yard, m->loaners, m->shard, n ? n->used_cores : 0,
@@ -739,7 +738,6 @@
     if (lead != c->led) {
         fleet_lead_lost(c);
         c->led = lead;
-        c->led_since = c->now;
         mv_info("leader", "leads=%d term=%" G_GUINT64_FORMAT, lead, c->leader.term);
     }
     if (!lead)
--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -74,7 +74,6 @@
     GQueue *images;     /* cached_image, most recently used first */
     /* direct commands */
     uint64_t command_id; /* 0: none in flight */
-    uint64_t command_baton;
     double command_at;
     bool wants_command, probe;
     double no_command_until;
@@ -88,8 +87,7 @@
     double promised_cores, promised_cards, promised_ram; /* within a round, to urgent work */
     GHashTable *failed_jobs; /* id -> whether the job did well elsewhere */
     /* the leader's view */
-    bool listed, listed_failed, listed_booting, releasing;
-    double listed_running_at;
+    bool listed, listed_failed;
     unsigned missing_lists;
 };
 
@@ -102,7 +100,6 @@
     mv_job spec;
     uint64_t stamp;
     double accepted_at; /* steady */
-    double submitted_wall;
     team *team;
     uint8_t *state;  /* task_state by piece */
     GArray *waiting; /* piece numbers, last first */
@@ -188,7 +185,7 @@
     GHashTable *jobs;
     GArray *types;
     uint64_t types_stamp;
-    double types_at, types_asked_at;
+    double types_asked_at;
     GHashTable *learnt; /* lane -> learnt_lane */
     /* actions */
     GQueue *actions;
@@ -204,7 +201,6 @@
     double rebalanced_at;
     /* fleet */
     bool led; /* leading at the last tick */
-    double led_since;
     GPtrArray *rentals;
     GHashTable *refused; /* "hull/yard/kind" -> until */
     GHashTable *tombs;   /* released machines -> when */
--- a/src/coordination/jobs.c
+++ b/src/coordination/jobs.c
@@ -41,7 +41,6 @@
     job *j = g_new0(job, 1);
     j->spec = *spec; /* takes its list */
     j->stamp = stamp;
-    j->submitted_wall = at;
     j->accepted_at = mv_from_wall(c, at);
     j->state = g_new0(uint8_t, spec->pieces);
     j->chunks = (spec->pieces + MV_CHUNK_TASKS - 1) / MV_CHUNK_TASKS;
--- a/src/coordination/machines.c
+++ b/src/coordination/machines.c
@@ -483,7 +483,6 @@
     a->tenure = MAX(m->tenure, 1);
     a->orders = orders;
     m->command_id = a->id;
-    m->command_baton = a->baton;
     m->command_at = c->now;
 }
 
--- a/src/service/daemon.c
+++ b/src/service/daemon.c
@@ -45,11 +45,6 @@
     return (double)g_get_real_time() / 1e6;
 }
 
-const mv_settings *mv_daemon_settings(const mv_daemon *d)
-{
-    return d->conf;
-}
-
 mv_state *mv_daemon_state(mv_daemon *d)
 {
     return d->state;
--- a/src/service/daemon.h
+++ b/src/service/daemon.h
@@ -13,7 +13,6 @@
 void mv_daemon_stop(mv_daemon *d);
 
 /* --- for the routes --- */
-const mv_settings *mv_daemon_settings(const mv_daemon *d);
 mv_state *mv_daemon_state(mv_daemon *d);
 /* The core under its lock; mv_daemon_leave hands out what it decided. */
 mv_core *mv_daemon_enter(mv_daemon *d, double *now);
