Queues of actions under the daemon's own lock; no test leaves processes behind

Cause: the thread-sanitizer run of the loopback test ended with reports from GLib's slices and queues, whose locks the sanitizer does not see, and the controllers it left kept ctest waiting.

--- a/src/service/daemon.c
+++ b/src/service/daemon.c
@@ -14,6 +14,12 @@
 
 typedef void *(*routine)(void *);
 
+/* Actions that wait for a routine; guarded by the daemon's lock. */
+typedef struct {
+    GQueue actions;
+    pthread_cond_t filled;
+} work;
+
 struct mv_daemon {
     const mv_settings *conf;
     mv_core *core;
@@ -22,7 +28,7 @@
     pthread_cond_t stop_cond;
     bool stopping;
     GPtrArray *threads; /* of pthread_t * */
-    GAsyncQueue *txns, *commands, *cloud, *demands;
+    work txns, commands, cloud, demands;
     mv_http_server *http;
     mv_peer_server *back;
     mv_peer **peers; /* like conf->siblings */
@@ -57,25 +63,31 @@
     return d->core;
 }
 
+static void put(work *w, mv_action *a)
+{
+    if (a->kind == MV_ACT_TXN && a->urgent)
+        g_queue_push_head(&w->actions, a);
+    else
+        g_queue_push_tail(&w->actions, a);
+    pthread_cond_signal(&w->filled);
+}
+
 void mv_daemon_leave(mv_daemon *d)
 {
     mv_action *a;
     while ((a = mv_core_next(d->core))) {
         switch (a->kind) {
         case MV_ACT_TXN:
-            if (a->urgent)
-                g_async_queue_push_front(d->txns, a);
-            else
-                g_async_queue_push(d->txns, a);
+            put(&d->txns, a);
             break;
         case MV_ACT_COMMAND:
-            g_async_queue_push(d->commands, a);
+            put(&d->commands, a);
             break;
         case MV_ACT_DEMAND:
-            g_async_queue_push(d->demands, a);
+            put(&d->demands, a);
             break;
         default:
-            g_async_queue_push(d->cloud, a);
+            put(&d->cloud, a);
         }
     }
     pthread_mutex_unlock(&d->lock);
@@ -105,14 +117,14 @@
     return go_on;
 }
 
-/* The next action of a queue, or NULL at the end, which is told by a stop mark. */
-static mv_action *take(mv_daemon *d, GAsyncQueue *queue)
+/* The next action, or NULL at the end. */
+static mv_action *take(mv_daemon *d, work *w)
 {
-    mv_action *a = g_async_queue_pop(queue);
-    if (stopping(d)) {
-        mv_action_free(a);
-        return NULL;
-    }
+    pthread_mutex_lock(&d->lock);
+    while (!d->stopping && g_queue_is_empty(&w->actions))
+        pthread_cond_wait(&w->filled, &d->lock);
+    mv_action *a = d->stopping ? NULL : g_queue_pop_head(&w->actions);
+    pthread_mutex_unlock(&d->lock);
     return a;
 }
 
@@ -257,7 +269,7 @@
 {
     mv_daemon *d = arg;
     mv_action *a;
-    while ((a = take(d, d->txns))) {
+    while ((a = take(d, &d->txns))) {
         double began = steady(), now;
         mv_state_result r = mv_state_txn(d->state, a->conds, a->changes, a->urgent);
         mv_metrics_latency(MV_LAT_TXN, steady() - began);
@@ -279,7 +291,7 @@
 {
     mv_daemon *d = arg;
     mv_action *a;
-    while ((a = take(d, d->commands))) {
+    while ((a = take(d, &d->commands))) {
         double began = steady(), now;
         g_autoptr(GBytes) body = mv_orders_pack(a->baton, a->tenure, a->orders);
         mv_http_answer answer;
@@ -362,7 +374,7 @@
 {
     mv_daemon *d = arg;
     mv_action *a;
-    while ((a = take(d, d->cloud))) {
+    while ((a = take(d, &d->cloud))) {
         char path[300];
         const char *method;
         double began = steady(), now;
@@ -551,7 +563,7 @@
 {
     mv_daemon *d = arg;
     mv_action *a;
-    while ((a = take(d, d->demands))) {
+    while ((a = take(d, &d->demands))) {
         mv_peer *p = peer_named(d, a->to);
         g_autoptr(GBytes) frame = pack_demand(a->demand);
         gsize n;
@@ -674,9 +686,9 @@
     pthread_cond_init(&d->stop_cond, &steady_clock);
     pthread_condattr_destroy(&steady_clock);
     d->threads = g_ptr_array_new_with_free_func(g_free);
-    GAsyncQueue **queues[] = {&d->txns, &d->commands, &d->cloud, &d->demands};
+    work *queues[] = {&d->txns, &d->commands, &d->cloud, &d->demands};
     for (size_t i = 0; i < G_N_ELEMENTS(queues); i++)
-        *queues[i] = g_async_queue_new_full(action_free);
+        pthread_cond_init(&queues[i]->filled, NULL);
     d->known = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     g_snprintf(d->cloud_at, sizeof d->cloud_at, "%s:%u", conf->cloud.host, conf->cloud.port);
     d->peers = g_new0(mv_peer *, conf->n_siblings + 1);
@@ -697,21 +709,22 @@
 
 void mv_daemon_stop(mv_daemon *d)
 {
+    work *queues[] = {&d->txns, &d->commands, &d->cloud, &d->demands};
     pthread_mutex_lock(&d->lock);
     d->stopping = true;
     pthread_cond_broadcast(&d->stop_cond);
+    for (size_t i = 0; i < G_N_ELEMENTS(queues); i++)
+        pthread_cond_broadcast(&queues[i]->filled);
     pthread_mutex_unlock(&d->lock);
     if (d->http)
         mv_http_close(d->http);
     mv_peer_close(d->back);
-    GAsyncQueue *queues[] = {d->txns, d->commands, d->cloud, d->demands};
-    for (size_t q = 0; q < G_N_ELEMENTS(queues); q++)
-        for (int i = 0; i < MV_COMMAND_THREADS; i++) /* a stop mark for each routine */
-            g_async_queue_push(queues[q], g_new0(mv_action, 1));
     for (guint i = 0; i < d->threads->len; i++)
         pthread_join(*(pthread_t *)g_ptr_array_index(d->threads, i), NULL);
-    for (size_t q = 0; q < G_N_ELEMENTS(queues); q++)
-        g_async_queue_unref(queues[q]);
+    for (size_t i = 0; i < G_N_ELEMENTS(queues); i++) {
+        g_queue_clear_full(&queues[i]->actions, action_free);
+        pthread_cond_destroy(&queues[i]->filled);
+    }
     for (size_t i = 0; i < d->conf->n_siblings; i++)
         mv_peer_free(d->peers[i]);
     g_free(d->peers);
--- a/tests/test_processes.c
+++ b/tests/test_processes.c
@@ -12,6 +12,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -496,6 +497,7 @@
     nodes[i].pid = fork();
     g_assert_cmpint(nodes[i].pid, >=, 0);
     if (nodes[i].pid == 0) {
+        prctl(PR_SET_PDEATHSIG, SIGKILL); /* a test that fails leaves nobody behind */
         execl(MV_PROGRAM, MV_PROGRAM, "--config", nodes[i].config, NULL);
         _exit(127);
     }
