Read once more: one fetch time, one test for a class's aim, a true comment on the order

No behaviour changes: the fetch time of an image and the match of an aim with a job's class each stood in two or three places, slack was kept only to tell whether it was negative, and the comment on the order of jobs still spoke of least slack where least work decides.

--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -51,22 +51,21 @@
         machine *m = g_ptr_array_index(c->turn, i);
         if (m->shard != s)
             continue;
-        mv_note n = {
-            .idle_s = m->placements->len || !m->confirmed ? 0 : c->now - m->idle_since,
-            /* A new holder has heard nobody yet: that is its own newness, not theirs.
-             * Without this every take-over gave back the whole fleet as never booted. */
-            .silent_s = c->now - MAX(m->heard_at, s->taken_at),
-            .fence =
-                g_hash_table_size(m->sticky) > 0 && c->now > m->sticky_since + MV_FENCE_AFTER_S,
-            .give_back = m->give_back || (m->faulty && !m->placements->len),
-            .lost = m->lost,
-            /* A holder that reaches no machine once took those that its predecessor
-             * had used for machines that never booted. */
-            .up = m->confirmed || mv_may_hold_tasks(m),
-            .heard =
-                c->now -
-                    m->heard_at<MV_HEARD_REPORTS * c->conf->report_s, .leaving = m->recall_at> 0 ||
-                m->faulty};
+        bool heard_now = c->now - m->heard_at < MV_HEARD_REPORTS * c->conf->report_s;
+        bool leaving = m->faulty || m->recall_at > 0;
+        mv_note n = {.idle_s = m->placements->len || !m->confirmed ? 0 : c->now - m->idle_since,
+                     /* A new holder has heard nobody yet: that is its own newness, not theirs.
+                      * Without this every take-over gave back the whole fleet as never booted. */
+                     .silent_s = c->now - MAX(m->heard_at, s->taken_at),
+                     .fence = g_hash_table_size(m->sticky) > 0 &&
+                              c->now > m->sticky_since + MV_FENCE_AFTER_S,
+                     .give_back = m->give_back || (m->faulty && !m->placements->len),
+                     .lost = m->lost,
+                     /* A holder that reaches no machine once took those that its predecessor
+                      * had used for machines that never booted. */
+                     .up = m->confirmed || mv_may_hold_tasks(m),
+                     .heard = heard_now,
+                     .leaving = leaving};
         const mv_type *t = mv_type_of(c, m);
         double cores, cards, ram;
         mv_machine_free_room(c, m, &cores, &cards, &ram);
--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -117,7 +117,7 @@
     double flushed_at;
     unsigned shown_running;
     bool guaranteed, doomed, counted;
-    double slack, work;
+    double work; /* core seconds that wait */
 };
 
 struct team {
--- a/src/coordination/machines.c
+++ b/src/coordination/machines.c
@@ -258,9 +258,8 @@
             if (p->running_at > 0 && !p->adopted)
                 mv_learn(c, m, j, c->now - p->running_at);
             touch_image(c, m, j->spec.bundle, j->spec.pull_gb);
-        }
-        if (ours)
             drop_placement(c, m, (guint)at, false);
+        }
         g_hash_table_remove_all(m->failed_jobs);
         mv_task_done(c, j, piece->piece);
         /* Stored first: until then this report is the only proof. */
--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -23,14 +23,17 @@
     j->n_placed++;
 }
 
+static bool aims_at_class(const mv_objective *o, mv_objective_kind kind, const job *j)
+{
+    return o->kind == kind && strcmp(o->lane, j->spec.lane) == 0;
+}
+
 /* Whether the class of the job has an aim for its start, not just its team's guarantee. */
 static bool rush(const mv_core *c, const job *j)
 {
-    for (size_t i = 0; i < c->conf->n_objectives; i++) {
-        const mv_objective *o = &c->conf->objectives[i];
-        if (o->kind == MV_OBJ_WAIT && strcmp(o->lane, j->spec.lane) == 0)
+    for (size_t i = 0; i < c->conf->n_objectives; i++)
+        if (aims_at_class(&c->conf->objectives[i], MV_OBJ_WAIT, j))
             return true;
-    }
     return false;
 }
 
@@ -142,22 +145,26 @@
     double aim = G_MAXDOUBLE;
     for (size_t i = 0; i < c->conf->n_objectives; i++) {
         const mv_objective *o = &c->conf->objectives[i];
-        bool applies = (o->kind == MV_OBJ_WAIT && strcmp(o->lane, j->spec.lane) == 0) ||
-                       (o->kind == MV_OBJ_GUARANTEE && j->guaranteed);
+        bool applies =
+            aims_at_class(o, MV_OBJ_WAIT, j) || (o->kind == MV_OBJ_GUARANTEE && j->guaranteed);
         if (applies)
             aim = MIN(aim, o->within_s);
     }
     return aim;
 }
 
+static double fetch_time(const mv_core *c, const job *j, const machine *m)
+{
+    const mv_type *t = mv_type_of(c, m);
+    return t && t->pull_rate > 0 ? j->spec.pull_gb / t->pull_rate : 0;
+}
+
 /* Waiting for a cached image longer than fetching it here would take can gain nothing, and work
  * that should start within seconds has few to give away. */
 static double image_wait(const mv_core *c, const job *j, const machine *m)
 {
-    const mv_type *t = mv_type_of(c, m);
-    double fetch = t && t->pull_rate > 0 ? j->spec.pull_gb / t->pull_rate : 0;
     double limit = MIN(c->conf->tune.image_wait_s, MV_START_SHARE * mv_start_aim(c, j));
-    return MIN(limit, fetch);
+    return MIN(limit, fetch_time(c, j, m));
 }
 
 /* What a machine is worth to a task: that it keeps pace with its fellows, then its image's bytes
@@ -173,10 +180,9 @@
 /* Seconds until the image would be there; a fetch that is under way for another task counts. */
 double mv_fetch_left(const mv_core *c, const job *j, const machine *m)
 {
-    const mv_type *t = mv_type_of(c, m);
-    if (mv_has_image(m, j->spec.bundle) || !t || t->pull_rate <= 0)
+    if (mv_has_image(m, j->spec.bundle))
         return 0;
-    double left = j->spec.pull_gb / t->pull_rate;
+    double left = fetch_time(c, j, m);
     for (guint i = 0; i < m->placements->len; i++) {
         const placement *p = g_ptr_array_index(m->placements, i);
         const job *other = g_hash_table_lookup(c->jobs, p->job);
@@ -269,14 +275,14 @@
     double due = j->spec.due_s < 0 ? G_MAXDOUBLE : j->spec.due_s;
     for (size_t i = 0; i < c->conf->n_objectives; i++) {
         const mv_objective *o = &c->conf->objectives[i];
-        if (o->kind == MV_OBJ_FINISHED && strcmp(o->lane, j->spec.lane) == 0)
+        if (aims_at_class(o, MV_OBJ_FINISHED, j))
             due = MIN(due, o->within_s);
     }
     return due == G_MAXDOUBLE ? due : j->accepted_at + due;
 }
 
-/* Guaranteed work first, then urgency; then what can still be in time before what cannot, and the
- * least slack before the most: serving the hopeless first makes the rest hopeless too. */
+/* Guaranteed work first, then urgency; then what can still be in time before what cannot (serving
+ * the hopeless first makes the rest hopeless too), and of that the least work first. */
 static gint by_claim(gconstpointer a, gconstpointer b)
 {
     const job *x = *(job *const *)a, *y = *(job *const *)b;
@@ -319,10 +325,10 @@
         sum[t] += j->spec.cores * (j->spec.pieces - j->n_done);
         j->guaranteed = j->team->conf->cpus > 0 && sum[t] <= j->team->conf->cpus + MV_ROUNDING;
         double due = due_at(c, j);
-        j->slack = due == G_MAXDOUBLE ? due : due - c->now - mv_job_guess(c, j);
-        j->doomed = j->slack < 0;
+        double run = mv_job_guess(c, j);
+        j->doomed = due < c->now + run;
+        j->work = j->spec.cores * j->waiting->len * run;
         note_soon(c, j);
-        j->work = j->spec.cores * j->waiting->len * mv_job_guess(c, j);
     }
 }
 
