--- a/src/constants.h
+++ b/src/constants.h
@@ -19,6 +19,11 @@
 #define MV_ID_SIZE 32        /* job ids, node names of the wire are shorter */
 #define MV_NAME_SIZE 96      /* names of teams, types, zones, images, machines */
 #define MV_MAX_TYPES 32      /* machine types that the service tells apart; a bit set */
+#define MV_MAX_SHARDS 100     /* numbers of shards that records may carry */
+#define MV_MAX_PARTS 10000    /* and of the parts of a block */
+#define MV_PART_MOST 50       /* machines in one part of a block at most: one rental */
+#define MV_PART_LEAST 10      /* and at least, however small a value may be */
+#define MV_MEMBER_BYTES 200   /* of a value, allowed for each of them; 130 seen */
 #define MV_CHUNK_TASKS 16384 /* tasks in one progress record: 4 KiB of hex digits */
 
 /* --- membership, seconds --- */
@@ -28,11 +33,13 @@
 #define MV_SESSION_MARGIN_S 0.3 /* taken off our own view of the session: drift, rounding */
 #define MV_BLOCK_LEASE_S 30.0   /* DESIGN: block lease; shortened when cancel_s asks for it */
 #define MV_CANCEL_MARGIN_S 5.0  /* kept free below cancel_s - lease_s for stops to arrive */
-#define MV_SHARDS 1             /* blocks of the fleet; 0: one for each controller */
+#define MV_SHARDS 0             /* blocks of the fleet; 0: as its size asks */
+#define MV_SPLIT_MACHINES 100   /* a fleet of this size has a block for each controller */
+#define MV_RECORD_PARTS 4       /* parts of a block whose use is recorded at once */
+#define MV_RECORD_PAUSE_S 1.0   /* between such records where a block has more parts */
 
 #define MV_RESIGN_S 8.0     /* a new holder gets this long to reach its machines */
 #define MV_REBALANCE_S 10.0 /* pause between moves of shards to controllers that came back */
-#define MV_USED_SLACK 8     /* names of gone machines a record of used ones may carry */
 
 /* --- placement, seconds --- */
 #define MV_IMAGE_WAIT_S 5.0        /* DESIGN: wait for a machine that has the image */
@@ -40,22 +47,25 @@
 #define MV_ATTEMPT_BITS 24         /* low bits of an attempt: placements within one term */
 #define MV_START_SHARE 0.1         /* of a start aim that may go on waiting for an image */
 #define MV_KEEP_SHARE 0.2          /* of a team's limit, at most, is kept free for such work */
-#define MV_FETCH_STEP_S 0.5        /* differences in fetch time that matter */
 #define MV_SOON_SMOOTH 0.2         /* weight of the latest such job in the usual size */
 #define MV_FETCH_STEP_S 0.5        /* differences in fetch time that matter */
 #define MV_SOON_S 20.0             /* start aims below this justify stopping other work */
+#define MV_PREEMPT_AT_ONCE 400u    /* tasks of a job that room is made for in one round */
 #define MV_RETRY_BASE_S 1.0        /* first pause after a task failed; doubles */
 #define MV_RETRY_MAX_S 30.0        /* longest pause: a job that fails everywhere costs little */
 #define MV_FAULTY_JOBS 2           /* a machine that failed tasks of this many jobs is drained */
 #define MV_ROUND_S 0.02            /* least pause between rounds of placement */
 #define MV_ROUND_PER_TASK_S 0.0002 /* more pause for each waiting task: batches widen with load */
+#define MV_ROUND_PER_MACHINE_S 0.0001 /* and for each machine, as a round looks at all */
 #define MV_ROUND_MAX_S 0.5         /* longest pause between rounds */
 #define MV_SLOW_PACE 1.5           /* times what others take for the same job: used last */
 #define MV_CRAWL_PACE 4.0          /* and from here on it is emptied and returned */
 #define MV_PACE_PEERS 3            /* completed tasks of a job that make a measure */
 #define MV_PACE_SMOOTH 0.3         /* weight of the latest task in a machine's pace */
-#define MV_PACE_FADE 0.0025        /* per tick: half forgotten in about 30 s */
+#define MV_PACE_FADE 0.025         /* per second: half forgotten in about 30 s */
 #define MV_TICK_S 0.1              /* how often time is told to the core */
+#define MV_WATCH_TICKS 4           /* ticks in which every machine is looked at once */
+#define MV_WATCH_LEAST 64u         /* machines looked at in one tick at least */
 #define MV_SILENT_REPORTS 2.0 /* report intervals without a word before nothing more is placed */
 #define MV_PROBE_REPORTS 1.5  /* and before the machine is asked directly */
 #define MV_LOST_REPORTS 2.5   /* and before it is given up, if it did not answer either */
@@ -69,6 +79,8 @@
 #define MV_END_PAUSE_S 0.1    /* before the end of a job is tried again */
 #define MV_LEARN_WINDOW 30u   /* tasks over which the run time against guess_s is smoothed */
 #define MV_DEMAND_S 0.5       /* holders tell the leader what they need */
+#define MV_DEMAND_PER_MACHINE_S 0.001 /* and less often the more there is to tell */
+#define MV_PARTS_AT_ONCE 7u     /* parts of a block in one transaction: 64 KiB hold nine */
 #define MV_DEMAND_OLD_S 4.0   /* older demands are not acted upon */
 
 /* --- fleet, seconds --- */
--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -147,7 +147,7 @@
 {
     shard *s = p;
     mv_holder_clear(&s->holder);
-    g_hash_table_unref(s->used);
+    g_ptr_array_unref(s->chunks);
     g_array_unref(s->adds);
     mv_demand_free(s->demand);
     g_free(s);
@@ -164,6 +164,13 @@
         c->teams[i].conf = &conf->teams[i];
     c->machines = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, mv_machine_free);
     c->turn = g_ptr_array_new();
+    c->commandable = g_ptr_array_new();
+    c->commands = g_hash_table_new(g_int64_hash, g_int64_equal);
+    c->ending = g_hash_table_new(g_int64_hash, g_int64_equal);
+    c->images = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    c->open = g_ptr_array_new();
+    c->silent = g_ptr_array_new();
+    c->promised = g_ptr_array_new();
     c->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, mv_job_free);
     c->learnt = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     c->actions = g_queue_new();
@@ -182,6 +189,13 @@
         mv_action_free(a);
     g_queue_free(c->actions);
     g_ptr_array_unref(c->turn);
+    g_ptr_array_unref(c->commandable);
+    g_ptr_array_unref(c->open);
+    g_ptr_array_unref(c->silent);
+    g_ptr_array_unref(c->promised);
+    g_hash_table_unref(c->commands);
+    g_hash_table_unref(c->ending);
+    g_hash_table_unref(c->images);
     g_hash_table_unref(c->machines);
     g_hash_table_unref(c->jobs);
     g_hash_table_unref(c->nodes);
@@ -205,7 +219,8 @@
     if (c->want_round && c->now >= c->next_round) {
         c->want_round = false;
         mv_place_round(c);
-        double pause = MV_ROUND_S + MV_ROUND_PER_TASK_S * c->counts.waiting;
+        double pause = MV_ROUND_S + MV_ROUND_PER_TASK_S * c->counts.waiting +
+                       MV_ROUND_PER_MACHINE_S * c->turn->len;
         c->next_round = c->now + MIN(pause, MV_ROUND_MAX_S);
     }
     mv_flush_commands(c);
@@ -248,16 +263,36 @@
 
 /* --- records --- */
 
-static bool indexed(const char *key, const char *prefix, unsigned *index)
+static bool number(const char *text, unsigned limit, unsigned *out)
 {
     guint64 n;
-    if (!g_str_has_prefix(key, prefix) ||
-        !g_ascii_string_to_unsigned(key + strlen(prefix), 10, 0, 999, &n, NULL))
+    if (!g_ascii_string_to_unsigned(text, 10, 0, limit - 1, &n, NULL))
         return false;
-    *index = (unsigned)n;
+    *out = (unsigned)n;
     return true;
 }
 
+/* A prefix and the number of a shard. */
+static bool indexed(const char *key, const char *prefix, unsigned *index)
+{
+    return g_str_has_prefix(key, prefix) && number(key + strlen(prefix), MV_MAX_SHARDS, index);
+}
+
+/* A prefix, the number of a shard, a slash and the number of a part of its block. */
+static bool parted(const char *key, const char *prefix, unsigned *index, unsigned *part)
+{
+    char first[16];
+    const char *slash = strrchr(key, '/');
+    if (!g_str_has_prefix(key, prefix) || slash < key + strlen(prefix))
+        return false;
+    size_t n = (size_t)(slash - key) - strlen(prefix);
+    if (n >= sizeof first)
+        return false;
+    memcpy(first, key + strlen(prefix), n);
+    first[n] = 0;
+    return number(first, MV_MAX_SHARDS, index) && number(slash + 1, MV_MAX_PARTS, part);
+}
+
 static void record_leader(mv_core *c, const msgpack_object *o, uint64_t stamp)
 {
     mv_holder_clear(&c->leader);
@@ -269,7 +304,7 @@
 
 static void apply(mv_core *c, const char *key, const msgpack_object *o, uint64_t stamp)
 {
-    unsigned index;
+    unsigned index, part;
     if (strcmp(key, K_LEADER) == 0) {
         record_leader(c, o, stamp);
     } else if (strcmp(key, K_TERM) == 0) {
@@ -283,10 +318,10 @@
         mv_record_node(c, key + strlen(K_NODE), o, stamp);
     } else if (indexed(key, K_SHARD, &index)) {
         mv_record_shard(c, index, o, stamp);
-    } else if (indexed(key, K_BLOCK, &index)) {
-        mv_record_block(c, index, o, stamp);
-    } else if (indexed(key, K_USED, &index)) {
-        mv_record_used(c, index, o, stamp);
+    } else if (parted(key, K_BLOCK, &index, &part)) {
+        mv_record_block(c, index, part, o, stamp);
+    } else if (parted(key, K_USED, &index, &part)) {
+        mv_record_used(c, index, part, o, stamp);
     } else if (g_str_has_prefix(key, K_JOB)) {
         mv_record_job(c, key + strlen(K_JOB), o, stamp);
     } else if (g_str_has_prefix(key, K_PROGRESS)) {
@@ -360,17 +395,13 @@
         if (s->block_txn == id)
             s->block_txn = 0;
     }
-    GHashTableIter it;
-    gpointer v;
-    g_hash_table_iter_init(&it, c->jobs);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        job *j = v;
-        /* After OK the record's removal is on its way; anything else is tried again. */
-        if (j->ending_txn == id && outcome != MV_TXN_OK) {
-            j->ending_txn = 0;
-            j->ending = false;
-        }
-    }
+    /* After OK the record's removal is on its way; anything else is tried again. */
+    job *j = outcome == MV_TXN_OK ? NULL : g_hash_table_lookup(c->ending, &id);
+    if (!j)
+        return;
+    g_hash_table_remove(c->ending, &id);
+    j->ending_txn = 0;
+    j->ending = false;
 }
 
 /* --- questions --- */
@@ -388,6 +419,31 @@
     return mv_type_mask(c, spec) ? MV_FITS : MV_NEVER_FITS;
 }
 
+static unsigned shards_granted(const mv_core *c)
+{
+    unsigned n = 0;
+    while (n < c->shards->len && ((shard *)g_ptr_array_index(c->shards, n))->stamp)
+        n++;
+    return n;
+}
+
+/* A team's limit and guarantee are one owner's to keep, so its jobs all go to its shard. Jobs of a
+ * team that has neither spread over all shards, as no sum binds them. */
+bool mv_core_home(const mv_core *c, const mv_job *spec, unsigned *home)
+{
+    const team *t = NULL;
+    for (size_t i = 0; i < c->conf->n_teams && !t; i++)
+        if (strcmp(c->conf->teams[i].name, spec->crew) == 0)
+            t = &c->teams[i];
+    unsigned n = shards_granted(c);
+    if (!t || !t->shard || n == 0)
+        return false;
+    bool bound = t->conf->cpus > 0 || t->conf->cpus_max > 0 || t->conf->gpus > 0 ||
+                 t->conf->gpus_max > 0;
+    *home = bound ? t->shard->index : g_str_hash(spec->id) % n;
+    return true;
+}
+
 void mv_core_job(const mv_core *c, const char *id, mv_job_view *out)
 {
     memset(out, 0, sizeof *out);
@@ -416,10 +472,8 @@
         out->machines_up += ((machine *)v)->confirmed;
 }
 
-static void overview_machine(mv_out *o, const mv_core *c, const machine *m, double now)
+static void overview_machine(mv_out *o, const machine *m, double now)
 {
-    double cores, cards, ram;
-    mv_machine_free_room(c, m, &cores, &cards, &ram);
     mv_put_map(o, 6);
     mv_field_text(o, N_ID, m->id);
     mv_field_text(o, N_HULL, m->hull);
@@ -438,9 +492,9 @@
 static const char *why_waiting(const mv_core *c, const job *j)
 {
     const team *t = j->team;
-    const shard *s = t ? t->shard : NULL;
-    if (!s)
-        return "no controller owns its team";
+    const shard *s = t ? j->home : NULL;
+    if (!s || !s->stamp)
+        return "no controller owns it";
     if (j->backoff_until > c->now)
         return "its tasks failed";
     if (t->conf->cpus_max > 0 && t->used_cores + j->spec.cores > t->conf->cpus_max)
@@ -466,7 +520,7 @@
     mv_put_list(o, g_hash_table_size(c->machines));
     g_hash_table_iter_init(&it, c->machines);
     while (g_hash_table_iter_next(&it, NULL, &v))
-        overview_machine(o, c, v, now);
+        overview_machine(o, v, now);
     mv_put_text(o, "teams");
     mv_put_list(o, c->conf->n_teams);
     for (size_t i = 0; i < c->conf->n_teams; i++) {
@@ -484,8 +538,9 @@
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const job *j = v;
         bool late = j->spec.due_s >= 0 && now - j->accepted_at > j->spec.due_s;
-        mv_put_map(o, 8);
+        mv_put_map(o, 9);
         mv_field_text(o, N_ID, j->spec.id);
+        mv_field_text(o, "owner", j->home->stamp ? j->home->holder.node : "");
         mv_field_text(o, N_LANE, j->spec.lane);
         mv_field_text(o, N_CREW, j->spec.crew);
         mv_field_u64(o, N_PIECES, j->spec.pieces);
--- a/src/coordination/core.h
+++ b/src/coordination/core.h
@@ -121,6 +121,8 @@
 /* --- questions --- */
 typedef enum { MV_FITS, MV_NEVER_FITS, MV_CANNOT_SAY } mv_fit;
 mv_fit mv_core_fits(const mv_core *core, const mv_job *job);
+/* Which shard a job accepted now belongs to; false: not known yet. */
+bool mv_core_home(const mv_core *core, const mv_job *job, unsigned *home);
 
 typedef struct {
     bool active; /* a live record is known here */
--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -31,7 +31,7 @@
     g_hash_table_iter_init(&it, c->jobs);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const job *j = v;
-        unsigned n = j->team && j->team->shard == s ? rentable_count(j) : 0;
+        unsigned n = j->team && j->home == s ? rentable_count(j) : 0;
         if (!n || c->now < j->backoff_until)
             continue;
         mv_want w = {.cores = j->spec.cores,
@@ -66,11 +66,8 @@
                      .up = m->confirmed || mv_may_hold_tasks(m),
                      .heard = heard_now,
                      .leaving = leaving};
-        const mv_type *t = mv_type_of(c, m);
-        double cores, cards, ram;
-        mv_machine_free_room(c, m, &cores, &cards, &ram);
-        n.used_cores = t ? t->cores - cores : 0;
-        n.used_ram = t ? t->ram_gb - ram : 0;
+        n.used_cores = m->taken.cores;
+        n.used_ram = m->taken.ram;
         g_strlcpy(n.id, m->id, sizeof n.id);
         g_array_append_val(d->notes, n);
         heard += n.heard;
@@ -122,9 +119,18 @@
 
 static void take_demand(const mv_core *c, shard *s, mv_demand *d)
 {
-    for (guint i = 0; i < d->notes->len; i++)
-        if (g_array_index(d->notes, mv_note, i).heard)
+    for (guint i = 0; i < d->notes->len; i++) {
+        const mv_note *n = &g_array_index(d->notes, mv_note, i);
+        machine *m = g_hash_table_lookup(c->machines, n->id);
+        if (n->heard)
             s->passed_on = 0;
+        if (!m || m->shard != s)
+            continue;
+        m->note = *n;
+        m->note_at = c->now;
+        if (n->fence)
+            mv_chunk(s, m->chunk)->dirty = true;
+    }
     mv_demand_free(s->demand);
     s->demand = d;
     s->demand_got_at = c->now;
@@ -134,7 +140,8 @@
 {
     for (guint i = 0; i < c->shards->len; i++) {
         shard *s = g_ptr_array_index(c->shards, i);
-        if (!mv_holds(c, s) || c->now < s->demand_at + MV_DEMAND_S)
+        double pause = MV_DEMAND_S + MV_DEMAND_PER_MACHINE_S * s->n_machines;
+        if (!mv_holds(c, s) || c->now < s->demand_at + pause)
             continue;
         s->demand_at = c->now;
         offer_idle(c, s);
@@ -173,8 +180,13 @@
 static void bury(mv_core *c, const char *id)
 {
     double *when = g_new(double, 1);
+    machine *m = g_hash_table_lookup(c->machines, id);
     *when = c->now;
     g_hash_table_replace(c->tombs, g_strdup(id), when);
+    if (!m || !m->shard)
+        return;
+    m->buried = true;
+    mv_chunk(m->shard, m->chunk)->dirty = true;
 }
 
 static gboolean old_tomb(gpointer key, gpointer value, gpointer data)
@@ -216,12 +228,9 @@
     return m && m->shard;
 }
 
-static unsigned size_of_shard(const mv_core *c, const shard *s)
+static unsigned size_of_shard(const shard *s)
 {
-    unsigned n = s->adds->len;
-    for (guint i = 0; i < c->turn->len; i++)
-        n += ((machine *)g_ptr_array_index(c->turn, i))->shard == s;
-    return n;
+    return s->adds->len + s->n_machines;
 }
 
 /* A machine that nobody holds: rented by a request that was answered late, or by a leader that
@@ -232,74 +241,105 @@
         return;
     shard *least = g_ptr_array_index(c->shards, 0);
     for (guint i = 1; i < c->shards->len; i++)
-        if (size_of_shard(c, g_ptr_array_index(c->shards, i)) < size_of_shard(c, least))
+        if (size_of_shard(g_ptr_array_index(c->shards, i)) < size_of_shard(least))
             least = g_ptr_array_index(c->shards, i);
     g_array_append_val(least->adds, *b);
     mv_info("adopt", "machine=%s shard=%u", b->id, least->index);
 }
 
-static const mv_note *note_of(const shard *s, const char *id)
+static const mv_note *note_of(const machine *m)
 {
-    for (guint i = 0; s->demand && i < s->demand->notes->len; i++) {
-        const mv_note *n = &g_array_index(s->demand->notes, mv_note, i);
-        if (strcmp(n->id, id) == 0)
-            return n;
-    }
-    return NULL;
+    return m->note_at > 0 ? &m->note : NULL;
 }
 
-static bool fence_wanted(const mv_core *c, const shard *s, const machine *m)
+static bool fence_wanted(const mv_core *c, const machine *m)
 {
-    const mv_note *n = note_of(s, m->id);
-    return n && n->fence && s->demand_got_at > c->now - MV_DEMAND_OLD_S;
+    return m->note_at > c->now - MV_DEMAND_OLD_S && m->note.fence;
 }
 
-/* Writes a block anew when machines came, went or need a higher term. */
-static bool fleet_block_change(mv_core *c, shard *s)
+/* As many as fit the limit for a value, with room to spare. */
+static guint part_size(const mv_core *c)
 {
-    if (!s->stamp || mv_pending(&s->block_txn, s->block_txn_at, c->now))
-        return false;
-    g_autoptr(GArray) members = g_array_new(FALSE, TRUE, sizeof(mv_member));
-    bool change = s->block_stamp == 0;
-    uint64_t term = c->term;
-    for (guint i = 0; i < c->turn->len; i++) {
-        const machine *m = g_ptr_array_index(c->turn, i);
-        if (m->shard != s)
-            continue;
-        if (buried(c, m->id)) {
-            change = true;
+    double n = c->conf->value_kb * 1024 / MV_MEMBER_BYTES;
+    return (guint)CLAMP(n, MV_PART_LEAST, MV_PART_MOST);
+}
+
+/* The members of a part as they should be from now on. */
+static GArray *part_members(mv_core *c, const chunk *k, uint64_t *term)
+{
+    GArray *members = g_array_new(FALSE, TRUE, sizeof(mv_member));
+    for (guint i = 0; i < k->members->len; i++) {
+        const machine *m = g_ptr_array_index(k->members, i);
+        if (m->buried)
             continue;
-        }
         mv_member b = {
             .loaners = m->loaners, .term = m->member_term, .at = m->rented_at + c->wall_offset};
-        if (fence_wanted(c, s, m)) {
-            b.term = ++term;
-            change = true;
-        }
+        if (fence_wanted(c, m))
+            b.term = ++*term;
         g_strlcpy(b.id, m->id, sizeof b.id);
         g_strlcpy(b.address, m->address, sizeof b.address);
         g_strlcpy(b.hull, m->hull, sizeof b.hull);
         g_strlcpy(b.yard, m->yard, sizeof b.yard);
         g_array_append_val(members, b);
     }
-    for (guint i = s->adds->len; i-- > 0;) {
-        mv_member b = g_array_index(s->adds, mv_member, i);
+    return members;
+}
+
+static bool take_adds(mv_core *c, shard *s, GArray *members, guint most)
+{
+    bool any = false;
+    while (s->adds->len && members->len < most) {
+        mv_member b = g_array_index(s->adds, mv_member, s->adds->len - 1);
         const machine *m = g_hash_table_lookup(c->machines, b.id);
-        if ((m && m->shard) || buried(c, b.id)) {
-            g_array_remove_index(s->adds, i);
+        g_array_set_size(s->adds, s->adds->len - 1);
+        if ((m && m->shard) || buried(c, b.id))
             continue;
-        }
         g_array_append_val(members, b);
-        change = true;
+        any = true;
     }
-    if (!change)
+    return any;
+}
+
+/* Writes parts of a block anew when machines came, went or need a higher term. Machines that were
+ * taken up stay in `adds` until the record is here, so that a lost transaction loses none. */
+static bool fleet_block_change(mv_core *c, shard *s)
+{
+    if (!s->stamp || mv_pending(&s->block_txn, s->block_txn_at, c->now))
+        return false;
+    mv_action *a = NULL;
+    uint64_t term = c->term;
+    guint most = part_size(c);
+    unsigned ops = 0;
+    g_autoptr(GArray) adds = g_array_copy(s->adds);
+    for (guint i = 0; ops < MIN(MV_PARTS_AT_ONCE, c->conf->txn_ops - 1); i++) {
+        bool there = i < s->chunks->len;
+        chunk *k = there ? g_ptr_array_index(s->chunks, i) : NULL;
+        if (!there && s->adds->len == 0)
+            break;
+        bool room = !there || k->members->len < most;
+        if (there && !k->dirty && !(room && s->adds->len))
+            continue;
+        g_autoptr(GArray) members =
+            there ? part_members(c, k, &term) : g_array_new(FALSE, TRUE, sizeof(mv_member));
+        bool added = take_adds(c, s, members, most);
+        if (there && !k->dirty && !added)
+            continue;
+        if (!there && !added)
+            break;
+        char key[MV_KEY_SIZE];
+        g_snprintf(key, sizeof key, K_BLOCK "%u/%u", s->index, i);
+        a = a ? a : mv_txn(c, true);
+        mv_txn_if(a, key, there ? k->block_stamp : 0);
+        mv_txn_set(a, key, mv_block_pack(members), false);
+        if (there)
+            k->dirty = false;
+        ops++;
+    }
+    g_array_set_size(s->adds, 0);
+    g_array_append_vals(s->adds, adds->data, adds->len);
+    if (!a)
         return false;
-    char key[MV_KEY_SIZE];
-    g_snprintf(key, sizeof key, K_BLOCK "%u", s->index);
-    mv_action *a = mv_txn(c, true);
     mv_txn_if(a, K_LEADER, c->leader_stamp);
-    mv_txn_if(a, key, s->block_stamp);
-    mv_txn_set(a, key, mv_block_pack(members), false);
     if (term != c->term) {
         mv_txn_if(a, K_TERM, c->term_stamp);
         mv_txn_set(a, K_TERM, mv_counter_pack(term), false);
@@ -309,6 +349,24 @@
     return true;
 }
 
+/* What is recorded need not be added any more; what a write that failed left out is tried again. */
+static void settle_block(mv_core *c, shard *s)
+{
+    for (guint i = s->adds->len; i-- > 0;) {
+        const mv_member *b = &g_array_index(s->adds, mv_member, i);
+        const machine *m = g_hash_table_lookup(c->machines, b->id);
+        if ((m && m->shard) || buried(c, b->id))
+            g_array_remove_index_fast(s->adds, i);
+    }
+    for (guint i = 0; i < s->chunks->len; i++) {
+        chunk *k = g_ptr_array_index(s->chunks, i);
+        for (guint x = 0; x < k->members->len && !k->dirty; x++) {
+            const machine *m = g_ptr_array_index(k->members, x);
+            k->dirty = m->buried || fence_wanted(c, m);
+        }
+    }
+}
+
 /* --- sizing --- */
 
 typedef struct {
@@ -349,8 +407,8 @@
     GArray *bins = g_array_new(FALSE, TRUE, sizeof(bin));
     for (guint i = 0; i < c->turn->len; i++) {
         machine *m = g_ptr_array_index(c->turn, i);
-        const mv_note *n = m->shard ? note_of(m->shard, m->id) : NULL;
-        if (!m->shard || buried(c, m->id) || (n && (n->give_back || n->lost || n->leaving)))
+        const mv_note *n = note_of(m);
+        if (!m->shard || m->buried || (n && (n->give_back || n->lost || n->leaving)))
             continue;
         mv_type_of(c, m);
         add_bin(bins, c, m->type, m->yard, m->loaners, m->shard, n ? n->used_cores : 0,
@@ -458,11 +516,13 @@
 }
 
 /* While an offer is being asked for, what it can still give is not known. */
-static bool asking(const mv_core *c, const char *hull, const char *yard, bool spot)
+static bool asking(const mv_core *c, const offer *o)
 {
+    const mv_type *t = &g_array_index(c->types, mv_type, o->type);
     for (guint i = 0; i < c->rentals->len; i++) {
         const rental *r = g_ptr_array_index(c->rentals, i);
-        if (r->spot == spot && strcmp(r->hull, hull) == 0 && strcmp(r->yard, yard) == 0)
+        if (r->shard == o->shard->index && r->spot == o->spot && strcmp(r->hull, t->name) == 0 &&
+            strcmp(r->yard, o->yard) == 0)
             return true;
     }
     return false;
@@ -562,7 +622,7 @@
         }
     for (guint i = 0; i < requests->len; i++) {
         const offer *o = &g_array_index(requests, offer, i);
-        if (!asking(c, g_array_index(c->types, mv_type, o->type).name, o->yard, o->spot))
+        if (!asking(c, o))
             rent(c, o);
     }
 }
@@ -605,9 +665,9 @@
 
 static const char *reason_to_release(mv_core *c, machine *m)
 {
-    const mv_note *n = m->shard ? note_of(m->shard, m->id) : NULL;
+    const mv_note *n = note_of(m);
     const mv_type *t = mv_type_of(c, m);
-    bool fresh_note = n && m->shard->demand_got_at > c->now - MV_DEMAND_OLD_S;
+    bool fresh_note = n && m->note_at > c->now - MV_DEMAND_OLD_S;
     if (m->listed_failed)
         return "failed";
     if (m->missing_lists >= 2 && (!fresh_note || n->silent_s > c->conf->report_s * 2))
@@ -631,7 +691,7 @@
     g_autoptr(GPtrArray) hosts = g_ptr_array_new_with_free_func(g_free);
     for (guint i = 0; i < c->turn->len; i++) {
         machine *m = g_ptr_array_index(c->turn, i);
-        const char *why = m->shard && !buried(c, m->id) ? reason_to_release(c, m) : NULL;
+        const char *why = m->shard && !m->buried ? reason_to_release(c, m) : NULL;
         if (!why || hosts->len >= MV_MAX_RELEASE)
             continue;
         mv_info("release", "machine=%s why=%s", m->id, why);
@@ -748,8 +808,13 @@
         if (r->retry_at > 0 && c->now > r->retry_at)
             ask(c, r);
     }
-    for (guint i = 0; i < c->shards->len; i++)
-        fleet_block_change(c, g_ptr_array_index(c->shards, i));
+    for (guint i = 0; i < c->shards->len; i++) {
+        shard *s = g_ptr_array_index(c->shards, i);
+        if (mv_pending(&s->block_txn, s->block_txn_at, c->now))
+            continue;
+        settle_block(c, s);
+        fleet_block_change(c, s);
+    }
     size_fleet(c);
     give_back(c);
 }
--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -31,6 +31,11 @@
     T_STORED  /* completed and stored */
 } task_state;
 
+/* An amount of what a machine has. */
+typedef struct {
+    double cores, cards, ram;
+} mv_room;
+
 typedef struct job job;
 typedef struct machine machine;
 typedef struct shard shard;
@@ -39,6 +44,7 @@
 /* A task on a machine, from the moment its launch may be executed until it is known to be gone. */
 typedef struct {
     char job[MV_ID_SIZE];
+    struct job *of; /* NULL once the job's live record is gone */
     uint32_t piece;
     uint64_t attempt, tenure;
     team *team;
@@ -57,42 +63,50 @@
     bool loaners;
     double rented_at; /* steady */
     uint64_t member_term;
-    shard *shard; /* NULL once it is in no block */
-    int type;     /* index in types, -1 unknown */
+    shard *shard;   /* NULL once it is in no block */
+    unsigned chunk; /* which record of the block names it */
+    guint at;       /* its place in the turn */
+    int type;       /* index in types, -1 unknown */
     /* what reports say */
     uint64_t tenure, tick;
     double heard_at;     /* 0: never */
     double heard_any_at; /* any sign, also under an older token */
     bool confirmed;      /* under the present token */
-    bool used;           /* recorded as one that may hold tasks */
+    bool used;           /* recorded in its shard as one that may hold tasks */
     bool fresh;          /* entered the block after our grant: nothing can be on it yet */
     double recall_at;    /* when the cloud takes it; 0: no notice */
     GPtrArray *placements;
-    unsigned strangers; /* active pieces of unknown jobs */
+    mv_room taken, ending; /* by all placements, and by those that were told to stop */
+    unsigned strangers;    /* active pieces of unknown jobs */
     double sticky_since;
     GHashTable *sticky; /* attempts that may still arrive: never cleared under this token */
-    GQueue *images;     /* cached_image, most recently used first */
+    GArray *images;     /* cached_image, most recently used last */
     /* direct commands */
     uint64_t command_id; /* 0: none in flight */
     double command_at;
     bool wants_command, probe;
+    bool queued; /* among those that want a command */
     double no_command_until;
     unsigned command_fails; /* in a row */
     unsigned proofs;        /* of them, those while other machines were heard */
     /* judgement */
     double idle_since;
     bool give_back, faulty, lost;
-    double no_room_until;
+    double no_room_until, watched_at;
     double pace; /* run times here over those of the same jobs elsewhere, smoothed; 1: alike */
-    double promised_cores, promised_cards, promised_ram; /* within a round, to urgent work */
+    mv_room promised; /* within a round, to work that room is being made for */
     GHashTable *failed_jobs; /* id -> whether the job did well elsewhere */
     /* the leader's view */
     bool listed, listed_failed;
     unsigned missing_lists;
+    mv_note note; /* what its holder last said of it */
+    double note_at;
+    bool buried; /* released, its name not yet out of the block */
 };
 
+/* Images go by number within a process: names are compared once, not for each machine and task. */
 typedef struct {
-    char name[MV_NAME_SIZE];
+    unsigned image;
     double gb;
 } cached_image;
 
@@ -101,7 +115,14 @@
     uint64_t stamp;
     double accepted_at; /* steady */
     team *team;
-    uint8_t *state;  /* task_state by piece */
+    shard *home;     /* named in its record: who holds that shard owns the job */
+    unsigned image;  /* number of its bundle */
+    uint32_t types;  /* machine types that allow it; valid while types_of is the core's */
+    const GArray *types_of;
+    bool rush;        /* its class has an aim for the start */
+    double rush_aim;  /* that aim, seconds; G_MAXDOUBLE: none */
+    double finish_by; /* steady: deadline or the aim of its class, whichever is sooner */
+    uint8_t *state;   /* task_state by piece */
     GArray *waiting; /* piece numbers, last first */
     double ready_at; /* when its oldest waiting task became ready */
     unsigned n_done, n_stored, n_placed, n_running;
@@ -116,31 +137,43 @@
     uint64_t ending_txn;
     double flushed_at;
     unsigned shown_running;
-    bool guaranteed, doomed, counted;
+    bool guaranteed, doomed, counted, starved;
     double work; /* core seconds that wait */
+    double next_preempt;
 };
 
 struct team {
     const mv_team *conf;
-    shard *shard;
+    shard *shard; /* where the jobs of a team with a limit or guarantee belong */
     double used_cores, used_cards;         /* placements */
     double soon_used, soon_size;           /* by work that must start soon: now, and a usual job */
     double stopping_cores, promised_cores; /* within a round */
 };
 
+/* A block is stored in several records, for a value has a limit; each names some machines. */
+typedef struct {
+    unsigned index;
+    uint64_t block_stamp, used_stamp;
+    GPtrArray *members; /* machine */
+    GHashTable *used;   /* names recorded as ones that may hold tasks */
+    unsigned unrecorded; /* confirmed members that are not among them */
+    bool dirty;         /* the leader has members to take out or to fence */
+} chunk;
+
 struct shard {
     unsigned index;
     mv_holder holder;
     uint64_t stamp;       /* of the shard record */
     uint64_t grant_stamp; /* of the record that brought the present term */
-    uint64_t block_stamp, used_stamp;
-    GHashTable *used; /* ids of machines that may hold tasks */
+    GPtrArray *chunks;    /* chunk */
+    unsigned n_machines;
+    mv_room unknown; /* within a round: what silent machines may use at most */
     bool mine;
     double taken_at;
     bool rebuilt;
     double heard_at; /* of any of its machines */
     uint64_t used_txn;
-    double used_txn_at;
+    double used_txn_at, recorded_at;
     double demand_at; /* last sent */
     /* the leader's */
     uint64_t block_txn;
@@ -181,7 +214,15 @@
     GHashTable *machines; /* id -> machine */
     GPtrArray *turn;      /* machines in turn, by id */
     guint next_turn;
-    double large_cores; /* of the largest task about */
+    guint next_watch;       /* where the watch over machines goes on */
+    GPtrArray *commandable; /* machines that want a direct command */
+    GHashTable *commands;   /* id of a command in flight -> machine */
+    GHashTable *ending;     /* id of a transaction that ends a job -> job */
+    GHashTable *images;     /* bundle -> number */
+    GPtrArray *open;        /* within a round: machines that may take tasks, in turn */
+    GPtrArray *silent;      /* within a round: machines that may hold unknown tasks */
+    GPtrArray *promised;    /* machines with promises of this round */
+    double large_cores;     /* of the largest task about */
     GHashTable *jobs;
     GArray *types;
     uint64_t types_stamp;
@@ -234,8 +275,12 @@
 void mv_membership_tick(mv_core *c);
 void mv_record_node(mv_core *c, const char *name, const msgpack_object *o, uint64_t stamp);
 void mv_record_shard(mv_core *c, unsigned index, const msgpack_object *o, uint64_t stamp);
-void mv_record_block(mv_core *c, unsigned index, const msgpack_object *o, uint64_t stamp);
-void mv_record_used(mv_core *c, unsigned index, const msgpack_object *o, uint64_t stamp);
+void mv_record_block(mv_core *c, unsigned index, unsigned part, const msgpack_object *o,
+                     uint64_t stamp);
+void mv_record_used(mv_core *c, unsigned index, unsigned part, const msgpack_object *o,
+                    uint64_t stamp);
+chunk *mv_chunk(shard *s, unsigned part);
+shard *mv_shard_get(mv_core *c, unsigned index);
 void mv_holders_tick(mv_core *c);
 /* machines.c */
 machine *mv_machine_new(mv_core *c, const char *id);
@@ -244,9 +289,11 @@
 uint64_t mv_token(const machine *m);
 bool mv_usable(const mv_core *c, const machine *m);
 bool mv_may_hold_tasks(const machine *m);
-void mv_machine_free_room(const mv_core *c, const machine *m, double *cores, double *cards,
-                          double *ram);
-bool mv_has_image(const machine *m, const char *image);
+mv_room mv_free_room(const mv_core *c, const machine *m);
+void mv_room_add(mv_room *to, const placement *p, double times);
+bool mv_has_image(const machine *m, unsigned image);
+void mv_want_command(mv_core *c, machine *m);
+void mv_stop_placement(mv_core *c, machine *m, placement *p);
 void mv_flush_commands(mv_core *c);
 void mv_machines_tick(mv_core *c);
 void mv_reset_machine(mv_core *c, machine *m);
@@ -264,17 +311,18 @@
 double mv_job_guess(const mv_core *c, const job *j);
 void mv_learn(mv_core *c, machine *m, job *j, double ran);
 bool mv_is_slow(const machine *m);
-bool mv_allowed_on(const mv_core *c, const job *j, const machine *m);
+bool mv_allowed_on(const mv_core *c, job *j, const machine *m);
 uint32_t mv_type_mask(const mv_core *c, const mv_job *spec);
 /* placement.c */
 void mv_place_round(mv_core *c);
-double mv_unknown_cores(const mv_core *c, const shard *s);
 void mv_note_placed(mv_core *c, machine *m, job *j, placement *p);
 double mv_fetch_left(const mv_core *c, const job *j, const machine *m);
+bool mv_aims_at_class(const mv_objective *o, mv_objective_kind kind, const job *j);
 double mv_start_aim(const mv_core *c, const job *j);
 /* preemption.c */
-void mv_coming_room(const mv_core *c, const machine *m, double *cores, double *cards, double *ram);
-bool mv_fits(const job *j, double cores, double cards, double ram);
+mv_room mv_coming_room(const mv_core *c, const machine *m);
+bool mv_fits(const job *j, const mv_room *room);
+void mv_promise(mv_core *c, machine *m, const job *j);
 void mv_preempt_begin(mv_core *c);
 void mv_preempt_for(mv_core *c, job *j);
 bool mv_starts_soon(const mv_core *c, const job *j);
--- a/src/coordination/jobs.c
+++ b/src/coordination/jobs.c
@@ -7,7 +7,7 @@
 
 bool mv_job_mine(const mv_core *c, const job *j)
 {
-    return j->team && j->team->shard && mv_holds(c, j->team->shard);
+    return j->team && mv_holds(c, j->home);
 }
 
 void mv_job_free(gpointer p)
@@ -36,11 +36,44 @@
     j->ready_at = c->now;
 }
 
-static job *job_new(mv_core *c, mv_job *spec, double at, uint64_t stamp)
+static unsigned image_number(mv_core *c, const char *bundle)
+{
+    gpointer known = g_hash_table_lookup(c->images, bundle);
+    if (!known) {
+        known = GUINT_TO_POINTER(g_hash_table_size(c->images) + 1);
+        g_hash_table_insert(c->images, g_strdup(bundle), known);
+    }
+    return GPOINTER_TO_UINT(known);
+}
+
+bool mv_aims_at_class(const mv_objective *o, mv_objective_kind kind, const job *j)
+{
+    return o->kind == kind && strcmp(o->lane, j->spec.lane) == 0;
+}
+
+/* What the aims ask for jobs of this class, looked up once. */
+static void note_aims(const mv_core *c, job *j)
+{
+    double due = j->spec.due_s < 0 ? G_MAXDOUBLE : j->spec.due_s;
+    j->rush_aim = G_MAXDOUBLE;
+    for (size_t i = 0; i < c->conf->n_objectives; i++) {
+        const mv_objective *o = &c->conf->objectives[i];
+        if (mv_aims_at_class(o, MV_OBJ_FINISHED, j))
+            due = MIN(due, o->within_s);
+        if (mv_aims_at_class(o, MV_OBJ_WAIT, j))
+            j->rush_aim = MIN(j->rush_aim, o->within_s);
+    }
+    j->rush = j->rush_aim < G_MAXDOUBLE;
+    j->finish_by = due == G_MAXDOUBLE ? due : j->accepted_at + due;
+}
+
+static job *job_new(mv_core *c, mv_job *spec, unsigned home, double at, uint64_t stamp)
 {
     job *j = g_new0(job, 1);
     j->spec = *spec; /* takes its list */
     j->stamp = stamp;
+    j->home = mv_shard_get(c, home);
+    j->image = image_number(c, spec->bundle);
     j->accepted_at = mv_from_wall(c, at);
     j->state = g_new0(uint8_t, spec->pieces);
     j->chunks = (spec->pieces + MV_CHUNK_TASKS - 1) / MV_CHUNK_TASKS;
@@ -50,6 +83,7 @@
     for (size_t i = 0; i < c->conf->n_teams; i++)
         if (strcmp(c->conf->teams[i].name, spec->crew) == 0)
             j->team = &c->teams[i];
+    note_aims(c, j);
     mv_job_reset(c, j);
     return j;
 }
@@ -57,16 +91,23 @@
 /* The record went: the job is over. What still runs of it is stopped. */
 static void job_over(mv_core *c, job *j)
 {
-    for (guint i = 0; i < c->turn->len; i++) {
+    for (guint i = 0; i < c->turn->len && j->n_placed; i++) {
         machine *m = g_ptr_array_index(c->turn, i);
+        if (m->shard != j->home)
+            continue;
         for (guint k = 0; k < m->placements->len; k++) {
             placement *p = g_ptr_array_index(m->placements, k);
-            if (strcmp(p->job, j->spec.id) == 0)
-                m->wants_command = true;
+            if (p->of != j)
+                continue;
+            p->of = NULL;
+            j->n_placed--;
+            mv_want_command(c, m);
         }
     }
     if (j->n_done == j->spec.pieces)
         c->counts.finished++;
+    if (j->ending_txn)
+        g_hash_table_remove(c->ending, &j->ending_txn);
     g_hash_table_remove(c->jobs, j->spec.id);
 }
 
@@ -84,11 +125,12 @@
     }
     mv_job spec;
     double at;
-    if (!mv_accepted_parse(o, &spec, &at) || strcmp(spec.id, id) != 0) {
+    unsigned home;
+    if (!mv_accepted_parse(o, &spec, &home, &at) || strcmp(spec.id, id) != 0) {
         mv_error("bad_record", "key=%s%s", K_JOB, id);
         return;
     }
-    j = job_new(c, &spec, at, stamp);
+    j = job_new(c, &spec, home, at, stamp);
     g_hash_table_insert(c->jobs, j->spec.id, j);
 }
 
@@ -210,10 +252,15 @@
     return mask;
 }
 
-bool mv_allowed_on(const mv_core *c, const job *j, const machine *m)
+bool mv_allowed_on(const mv_core *c, job *j, const machine *m)
 {
-    const mv_type *t = mv_type_of(c, m);
-    return t && type_allowed(&j->spec, t) && GUARD(KIND, !m->loaners || j->spec.loaners) &&
+    if (!mv_type_of(c, m))
+        return false;
+    if (j->types_of != c->types) {
+        j->types = mv_type_mask(c, &j->spec);
+        j->types_of = c->types;
+    }
+    return (j->types >> m->type & 1) && GUARD(KIND, !m->loaners || j->spec.loaners) &&
            (!j->spec.has_yard || strcmp(j->spec.yard, m->yard) == 0);
 }
 
@@ -235,7 +282,7 @@
 
 static void shard_key(const job *j, char *out, size_t size)
 {
-    g_snprintf(out, size, K_SHARD "%u", j->team->shard->index);
+    g_snprintf(out, size, K_SHARD "%u", j->home->index);
 }
 
 /* One transaction ends a job: the live records go, the final one stays. Only the owner may, and
@@ -245,7 +292,7 @@
     char key[MV_KEY_SIZE], owner[MV_KEY_SIZE];
     mv_action *a = mv_txn(c, true);
     shard_key(j, owner, sizeof owner);
-    mv_txn_if(a, owner, j->team->shard->stamp);
+    mv_txn_if(a, owner, j->home->stamp);
     g_snprintf(key, sizeof key, K_JOB "%s", j->spec.id);
     mv_txn_if(a, key, j->stamp);
     mv_txn_remove(a, key);
@@ -258,7 +305,10 @@
     mv_txn_if(a, key, 0);
     mv_txn_set(a, key, mv_final_pack(true, j->spec.pieces, mv_wall(c)), false);
     j->ending = true;
+    if (j->ending_txn)
+        g_hash_table_remove(c->ending, &j->ending_txn);
     j->ending_txn = a->id;
+    g_hash_table_insert(c->ending, &j->ending_txn, j);
     j->flushed_at = c->now;
 }
 
@@ -275,7 +325,7 @@
     g_hash_table_iter_init(&it, c->jobs);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         job *j = v;
-        if (!j->team || j->team->shard != s || j->ending || c->now < j->flushed_at + MV_FLUSH_S)
+        if (!j->team || j->home != s || j->ending || c->now < j->flushed_at + MV_FLUSH_S)
             continue;
         if (j->n_running != j->shown_running && (!j->n_running || !j->shown_running))
             j->chunk_dirty[0] = true; /* others tell users pending or running by it */
--- a/src/coordination/machines.c
+++ b/src/coordination/machines.c
@@ -17,10 +17,11 @@
     m->pace = 1;
     m->placements = g_ptr_array_new_with_free_func(g_free);
     m->sticky = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    m->images = g_queue_new();
+    m->images = g_array_new(FALSE, TRUE, sizeof(cached_image));
     m->failed_jobs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     m->rented_at = m->idle_since = c->now;
     g_hash_table_insert(c->machines, m->id, m);
+    m->at = c->turn->len;
     g_ptr_array_add(c->turn, m);
     return m;
 }
@@ -31,10 +32,17 @@
     g_ptr_array_unref(m->placements);
     g_hash_table_unref(m->sticky);
     g_hash_table_unref(m->failed_jobs);
-    g_queue_free_full(m->images, g_free);
+    g_array_unref(m->images);
     g_free(m);
 }
 
+static void forget_command(mv_core *c, machine *m)
+{
+    if (m->command_id)
+        g_hash_table_remove(c->commands, &m->command_id);
+    m->command_id = 0;
+}
+
 /* Forgets what an earlier term taught about its tasks; images and speed stay true. */
 void mv_reset_machine(mv_core *c, machine *m)
 {
@@ -42,12 +50,15 @@
         drop_placement(c, m, m->placements->len - 1, false);
     g_hash_table_remove_all(m->sticky);
     m->strangers = 0;
+    if (m->shard && m->confirmed && !m->used)
+        mv_chunk(m->shard, m->chunk)->unrecorded--;
     m->confirmed = m->fresh = m->give_back = m->lost = false;
-    m->command_id = 0;
+    forget_command(c, m);
     m->command_fails = m->proofs = 0;
     m->no_command_until = 0;
     m->wants_command = false;
     m->idle_since = c->now;
+    m->note_at = 0;
 }
 
 /* It is in no block any more: gone for certain, since only a release that was answered or an
@@ -56,7 +67,14 @@
 {
     while (m->placements->len)
         drop_placement(c, m, m->placements->len - 1, true);
-    g_ptr_array_remove(c->turn, m);
+    forget_command(c, m);
+    if (m->queued)
+        g_ptr_array_remove_fast(c->commandable, m);
+    g_ptr_array_remove_fast(c->promised, m);
+    /* The last in turn takes its place: closing the gap would move every other. */
+    g_ptr_array_remove_index_fast(c->turn, m->at);
+    if (m->at < c->turn->len)
+        ((machine *)g_ptr_array_index(c->turn, m->at))->at = m->at;
     c->want_round = true;
     g_hash_table_remove(c->machines, m->id);
 }
@@ -82,75 +100,91 @@
 /* Not yet confirmed under our token, and recorded by a predecessor as one it used. */
 bool mv_may_hold_tasks(const machine *m)
 {
-    return m->shard && !m->confirmed && !m->fresh && g_hash_table_contains(m->shard->used, m->id);
+    return m->shard && !m->confirmed && !m->fresh && m->used;
 }
 
 bool mv_usable(const mv_core *c, const machine *m)
 {
-    return m->shard && mv_holds(c, m->shard) && m->confirmed && !m->give_back && !m->faulty &&
-           !m->lost && !m->recall_at && !m->strangers &&
-           g_hash_table_contains(m->shard->used, m->id) &&
+    return m->shard && m->confirmed && m->used && !m->give_back && !m->faulty && !m->lost &&
+           !m->recall_at && !m->strangers && mv_holds(c, m->shard) &&
            c->now - m->heard_at < MV_SILENT_REPORTS * c->conf->report_s;
 }
 
-void mv_machine_free_room(const mv_core *c, const machine *m, double *cores, double *cards,
-                          double *ram)
+void mv_room_add(mv_room *to, const placement *p, double times)
+{
+    to->cores += times * p->cores;
+    to->cards += times * p->cards;
+    to->ram += times * p->ram_gb;
+}
+
+mv_room mv_free_room(const mv_core *c, const machine *m)
 {
     const mv_type *t = mv_type_of(c, m);
-    *cores = t ? t->cores : 0;
-    *cards = t ? t->cards : 0;
-    *ram = t ? t->ram_gb : 0;
-    for (guint i = 0; i < m->placements->len; i++) {
-        const placement *p = g_ptr_array_index(m->placements, i);
-        *cores -= p->cores;
-        *cards -= p->cards;
-        *ram -= p->ram_gb;
-    }
+    if (!t)
+        return (mv_room){-m->taken.cores, -m->taken.cards, -m->taken.ram};
+    return (mv_room){t->cores - m->taken.cores, t->cards - m->taken.cards,
+                     t->ram_gb - m->taken.ram};
 }
 
-bool mv_has_image(const machine *m, const char *image)
+static int image_at(const machine *m, unsigned image)
 {
-    for (GList *l = m->images->head; l; l = l->next)
-        if (strcmp(((cached_image *)l->data)->name, image) == 0)
-            return true;
-    return false;
+    for (guint i = m->images->len; i-- > 0;)
+        if (g_array_index(m->images, cached_image, i).image == image)
+            return (int)i;
+    return -1;
+}
+
+bool mv_has_image(const machine *m, unsigned image)
+{
+    return image_at(m, image) >= 0;
 }
 
 /* Reports do not list cached images: a task seen running proves its image, and the least recently
  * used ones go first once the type's local room is full. */
-static void touch_image(mv_core *c, machine *m, const char *image, double gb)
+static void touch_image(mv_core *c, machine *m, const job *j)
 {
-    for (GList *l = m->images->head; l; l = l->next)
-        if (strcmp(((cached_image *)l->data)->name, image) == 0) {
-            g_queue_unlink(m->images, l);
-            g_queue_push_head_link(m->images, l);
-            return;
-        }
-    cached_image *img = g_new0(cached_image, 1);
-    g_strlcpy(img->name, image, sizeof img->name);
-    img->gb = gb;
-    g_queue_push_head(m->images, img);
+    cached_image img = {.image = j->image, .gb = j->spec.pull_gb};
+    int at = image_at(m, j->image);
+    if (at >= 0 && (guint)at == m->images->len - 1)
+        return;
+    if (at >= 0)
+        g_array_remove_index(m->images, (guint)at);
+    g_array_append_val(m->images, img);
     const mv_type *t = mv_type_of(c, m);
     double sum = 0;
-    for (GList *l = m->images->head; l; l = l->next)
-        sum += ((cached_image *)l->data)->gb;
-    while (t && sum > t->local_gb && m->images->length > 1) {
-        cached_image *old = g_queue_pop_tail(m->images);
-        sum -= old->gb;
-        g_free(old);
+    for (guint i = 0; i < m->images->len; i++)
+        sum += g_array_index(m->images, cached_image, i).gb;
+    while (t && sum > t->local_gb && m->images->len > 1) {
+        sum -= g_array_index(m->images, cached_image, 0).gb;
+        g_array_remove_index(m->images, 0);
     }
 }
 
+void mv_want_command(mv_core *c, machine *m)
+{
+    m->wants_command = true;
+    if (!m->queued)
+        g_ptr_array_add(c->commandable, m);
+    m->queued = true;
+}
+
 /* --- placements --- */
 
 static void drop_placement(mv_core *c, machine *m, guint index, bool requeue)
 {
     placement *p = g_ptr_array_index(m->placements, index);
-    job *j = g_hash_table_lookup(c->jobs, p->job);
+    job *j = p->of;
     p->team->used_cores -= p->cores;
     p->team->used_cards -= p->cards;
-    if (m->placements->len == 1) /* sums of fractions: start again from none */
+    mv_room_add(&m->taken, p, -1);
+    if (p->stopping) {
+        mv_room_add(&m->ending, p, -1);
+        p->team->stopping_cores -= p->cores;
+    }
+    if (m->placements->len == 1) { /* sums of fractions: start again from none */
+        m->taken = m->ending = (mv_room){0};
         m->idle_since = c->now;
+    }
     if (j) {
         j->n_placed--;
         j->n_running -= p->running_at > 0;
@@ -159,10 +193,20 @@
             c->counts.requeued++;
         }
     }
-    g_ptr_array_remove_index(m->placements, index);
+    g_ptr_array_remove_index_fast(m->placements, index);
     c->want_round = true;
 }
 
+void mv_stop_placement(mv_core *c, machine *m, placement *p)
+{
+    if (!p->stopping) {
+        p->stopping = true;
+        mv_room_add(&m->ending, p, 1);
+        p->team->stopping_cores += p->cores;
+    }
+    mv_want_command(c, m);
+}
+
 static int find_placement(const machine *m, const char *job_id, uint32_t piece)
 {
     for (guint i = 0; i < m->placements->len; i++) {
@@ -257,7 +301,7 @@
         if (ours) {
             if (p->running_at > 0 && !p->adopted)
                 mv_learn(c, m, j, c->now - p->running_at);
-            touch_image(c, m, j->spec.bundle, j->spec.pull_gb);
+            touch_image(c, m, j);
             drop_placement(c, m, (guint)at, false);
         }
         g_hash_table_remove_all(m->failed_jobs);
@@ -306,7 +350,7 @@
     if (piece->status != MV_PULLING && p->running_at == 0) {
         p->running_at = c->now;
         j->n_running++;
-        touch_image(c, m, j->spec.bundle, j->spec.pull_gb);
+        touch_image(c, m, j);
     }
     if (p->stopping && piece->status != MV_SAVING)
         add_order(orders, MV_STOP, piece, j->spec.mark_every_s > 0 ? j->spec.mark_cost_s : 0);
@@ -338,7 +382,7 @@
         bool in_flight = p->sent_direct && m->command_id;
         if (p->seen || p->tenure < r->tenure) {
             drop_placement(c, m, i, true); /* it was there, or its session ended */
-        } else if (!g_hash_table_contains(c->jobs, p->job)) {
+        } else if (!p->of) {
             /* Cancelled before it was seen: gone once no launch can arrive any more. */
             if (!in_flight && !p->unsettled)
                 drop_placement(c, m, i, false);
@@ -387,11 +431,13 @@
     g_strlcpy(m->address, r->address, sizeof m->address);
     m->recall_at = r->recall_s >= 0 ? c->now + r->recall_s : 0;
     if (r->baton < mv_token(m)) {
-        m->wants_command = true; /* shows the worker our token, and us its tasks */
+        mv_want_command(c, m); /* shows the worker our token, and us its tasks */
         return;
     }
     if (!was) /* nothing sent under an older token can arrive any more */
         settle_attempts(m);
+    if (!was && !m->used)
+        mv_chunk(m->shard, m->chunk)->unrecorded++;
     m->confirmed = true;
     m->strangers = 0;
     for (size_t i = 0; i < r->n_pieces; i++) {
@@ -483,6 +529,7 @@
     a->orders = orders;
     m->command_id = a->id;
     m->command_at = c->now;
+    g_hash_table_insert(c->commands, &m->command_id, m);
 }
 
 /* Orders that should not wait for the next report. */
@@ -491,7 +538,7 @@
     GArray *orders = g_array_new(FALSE, TRUE, sizeof(mv_order));
     for (guint i = 0; m->confirmed && i < m->placements->len && orders->len < MV_MAX_ORDERS; i++) {
         placement *p = g_ptr_array_index(m->placements, i);
-        job *j = g_hash_table_lookup(c->jobs, p->job);
+        const job *j = p->of;
         if (j && !p->seen && !p->sent_direct && !p->stopping) {
             launch_order(p, orders);
             p->sent_direct = true;
@@ -506,31 +553,32 @@
     return orders;
 }
 
-void mv_flush_commands(mv_core *c)
+/* Whether a machine that wants a command leaves the queue of those. */
+static bool flush_command(mv_core *c, machine *m)
 {
-    for (guint i = 0; i < c->turn->len; i++) {
-        machine *m = g_ptr_array_index(c->turn, i);
-        if (!m->wants_command || m->command_id || !m->address[0] || c->now < m->no_command_until ||
-            !m->shard || !mv_holds(c, m->shard))
-            continue;
-        m->wants_command = false;
-        GArray *orders = urgent_orders(c, m);
-        if (orders->len || !m->confirmed || m->probe)
-            command(c, m, orders);
-        else
-            g_array_unref(orders);
-        m->probe = false;
-    }
+    if (!m->wants_command || !m->address[0] || !m->shard || !mv_holds(c, m->shard))
+        return true;
+    if (m->command_id || c->now < m->no_command_until)
+        return false;
+    m->wants_command = false;
+    GArray *orders = urgent_orders(c, m);
+    if (orders->len || !m->confirmed || m->probe)
+        command(c, m, orders);
+    else
+        g_array_unref(orders);
+    m->probe = false;
+    return true;
 }
 
-static machine *machine_of_command(mv_core *c, uint64_t id)
+void mv_flush_commands(mv_core *c)
 {
-    for (guint i = 0; i < c->turn->len; i++) {
-        machine *m = g_ptr_array_index(c->turn, i);
-        if (m->command_id == id)
-            return m;
+    for (guint i = c->commandable->len; i-- > 0;) {
+        machine *m = g_ptr_array_index(c->commandable, i);
+        if (!flush_command(c, m))
+            continue;
+        m->queued = false;
+        g_ptr_array_remove_index_fast(c->commandable, i);
     }
-    return NULL;
 }
 
 /* Launches of a command without an answer may still arrive, minutes later. */
@@ -556,10 +604,10 @@
 void mv_core_command_done(mv_core *c, double now, uint64_t id, int status, const mv_report *r)
 {
     c->now = MAX(c->now, now);
-    machine *m = machine_of_command(c, id);
+    machine *m = g_hash_table_lookup(c->commands, &id);
     if (!m)
         return;
-    m->command_id = 0;
+    forget_command(c, m);
     if (!r || (status != 200 && status != 409)) {
         command_unanswered(c, m);
         return;
@@ -573,11 +621,12 @@
         for (guint i = 0; status == 409 && i < m->placements->len; i++)
             ((placement *)g_ptr_array_index(m->placements, i))->sent_direct = false;
         if (status == 409 || !m->confirmed)
-            m->wants_command = true;
+            mv_want_command(c, m);
     }
     for (guint i = 0; i < m->placements->len; i++) {
-        placement *p = g_ptr_array_index(m->placements, i);
-        m->wants_command = m->wants_command || (!p->seen && !p->sent_direct);
+        const placement *p = g_ptr_array_index(m->placements, i);
+        if (!p->seen && !p->sent_direct)
+            mv_want_command(c, m);
     }
     mv_settle(c);
 }
@@ -588,10 +637,11 @@
  * judgement fades, for slowness may pass. */
 static void watch_pace(mv_core *c, machine *m)
 {
-    m->pace += (1 - m->pace) * MV_PACE_FADE;
+    m->pace += (1 - m->pace) * MIN(1, MV_PACE_FADE * (c->now - m->watched_at));
+    m->watched_at = c->now;
     for (guint i = 0; i < m->placements->len; i++) {
         const placement *p = g_ptr_array_index(m->placements, i);
-        const job *j = g_hash_table_lookup(c->jobs, p->job);
+        const job *j = p->of;
         if (j && p->running_at > 0 && j->run_n >= MV_PACE_PEERS)
             m->pace = MAX(m->pace, (c->now - p->running_at) / (j->run_sum / j->run_n));
     }
@@ -606,9 +656,9 @@
     mv_info("machine_crawls", "machine=%s pace=%.1f pieces=%u", m->id, m->pace, m->placements->len);
     for (guint i = 0; i < m->placements->len; i++) {
         placement *p = g_ptr_array_index(m->placements, i);
-        p->stopping = p->stopping || p->seen;
+        if (p->seen)
+            mv_stop_placement(c, m, p);
     }
-    m->wants_command = true;
     c->want_round = true;
 }
 
@@ -626,11 +676,13 @@
     double quiet = c->now - MAX(MAX(m->heard_at, m->shard->taken_at), m->rented_at);
     /* After a take-over ask at once rather than wait for the worker to find us. */
     if (!m->confirmed && m->address[0] && (m->heard_any_at || mv_may_hold_tasks(m)))
-        m->wants_command = true;
+        mv_want_command(c, m);
     bool expected = m->heard_at > 0 || mv_may_hold_tasks(m);
     /* A report may be lost and its repetition go to a sibling first: ask before judging. */
-    if (expected && quiet > MV_PROBE_REPORTS * interval && m->address[0])
-        m->wants_command = m->probe = true;
+    if (expected && quiet > MV_PROBE_REPORTS * interval && m->address[0]) {
+        m->probe = true;
+        mv_want_command(c, m);
+    }
     bool no_answer = m->proofs >= MV_PROBES_FAILED || !m->address[0];
     /* After a take-over every machine is asked at once and all tasks known from before wait for
      * the last answer: one more question instead of the wait for reports. */
@@ -647,19 +699,19 @@
     /* A task that saves may be stopped in time for the notice; others may still end by then. */
     for (guint i = 0; m->recall_at && i < m->placements->len; i++) {
         placement *p = g_ptr_array_index(m->placements, i);
-        const job *j = g_hash_table_lookup(c->jobs, p->job);
+        const job *j = p->of;
         if (j && !p->stopping && j->spec.mark_every_s > 0 &&
-            m->recall_at - c->now < j->spec.mark_cost_s + MV_RECALL_SPARE_S) {
-            p->stopping = true;
-            m->wants_command = true;
-        }
+            m->recall_at - c->now < j->spec.mark_cost_s + MV_RECALL_SPARE_S)
+            mv_stop_placement(c, m, p);
     }
 }
 
+/* Each machine is looked at a few times a second, some of them at each tick. */
 void mv_machines_tick(mv_core *c)
 {
-    for (guint i = 0; i < c->turn->len; i++) {
-        machine *m = g_ptr_array_index(c->turn, i);
+    guint n = MIN(c->turn->len, MAX(MV_WATCH_LEAST, c->turn->len / MV_WATCH_TICKS + 1));
+    for (guint i = 0; i < n; i++) {
+        machine *m = g_ptr_array_index(c->turn, c->next_watch++ % c->turn->len);
         if (m->shard && mv_holds(c, m->shard))
             watch_machine(c, m);
     }
--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -22,12 +22,32 @@
     g_hash_table_replace(c->nodes, n->node, n);
 }
 
-static shard *shard_get(mv_core *c, unsigned index)
+static void free_chunk(gpointer p)
+{
+    chunk *k = p;
+    g_ptr_array_unref(k->members);
+    g_hash_table_unref(k->used);
+    g_free(k);
+}
+
+chunk *mv_chunk(shard *s, unsigned part)
+{
+    while (s->chunks->len <= part) {
+        chunk *k = g_new0(chunk, 1);
+        k->index = s->chunks->len;
+        k->members = g_ptr_array_new();
+        k->used = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+        g_ptr_array_add(s->chunks, k);
+    }
+    return g_ptr_array_index(s->chunks, part);
+}
+
+shard *mv_shard_get(mv_core *c, unsigned index)
 {
     while (c->shards->len <= index) {
         shard *s = g_new0(shard, 1);
         s->index = c->shards->len;
-        s->used = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+        s->chunks = g_ptr_array_new_with_free_func(free_chunk);
         s->adds = g_array_new(FALSE, TRUE, sizeof(mv_member));
         g_ptr_array_add(c->shards, s);
     }
@@ -59,14 +79,14 @@
     g_hash_table_iter_init(&it, c->jobs);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         job *j = v;
-        if (j->team && j->team->shard == s)
+        if (j->home == s)
             mv_job_reset(c, j);
     }
 }
 
 void mv_record_shard(mv_core *c, unsigned index, const msgpack_object *o, uint64_t stamp)
 {
-    shard *s = shard_get(c, index);
+    shard *s = mv_shard_get(c, index);
     mv_holder h;
     if (!o || !mv_holder_parse(o, &h)) {
         s->stamp = 0;
@@ -94,10 +114,52 @@
     s->mine = mine;
 }
 
-void mv_record_block(mv_core *c, unsigned index, const msgpack_object *o, uint64_t stamp)
+/* Out of whichever part names it. */
+static void leave_part(machine *m)
+{
+    if (!m->shard)
+        return;
+    chunk *k = mv_chunk(m->shard, m->chunk);
+    if (!g_ptr_array_remove_fast(k->members, m))
+        return;
+    m->shard->n_machines--;
+    if (m->confirmed && !m->used)
+        k->unrecorded--;
+}
+
+static void enter_part(mv_core *c, shard *s, chunk *k, machine *m, const mv_member *b,
+                       uint64_t stamp)
 {
-    shard *s = shard_get(c, index);
-    s->block_stamp = o ? stamp : 0;
+    bool other_shard = m->shard != s;
+    if (other_shard) {
+        mv_reset_machine(c, m);
+        leave_part(m);
+        m->rented_at = mv_from_wall(c, b->at);
+        /* It entered the block under our grant: nothing of this block can be on it. */
+        m->fresh = s->stamp != 0 && stamp > s->grant_stamp && c->synced;
+    } else if (m->chunk != k->index) {
+        leave_part(m);
+    }
+    if (other_shard || m->chunk != k->index) {
+        g_ptr_array_add(k->members, m);
+        s->n_machines++;
+    } else if (m->confirmed && !m->used) {
+        k->unrecorded--;
+    }
+    m->shard = s;
+    m->chunk = k->index;
+    m->used = g_hash_table_contains(k->used, m->id);
+    m->member_term = b->term;
+    m->confirmed = false; /* a higher token has to be seen by the worker first */
+    m->give_back = m->note.fence = false;
+}
+
+void mv_record_block(mv_core *c, unsigned index, unsigned part, const msgpack_object *o,
+                     uint64_t stamp)
+{
+    shard *s = mv_shard_get(c, index);
+    chunk *k = mv_chunk(s, part);
+    k->block_stamp = o ? stamp : 0;
     g_autoptr(GArray) members = o ? mv_block_parse(o) : NULL;
     g_autoptr(GHashTable) present = g_hash_table_new(g_str_hash, g_str_equal);
     for (guint i = 0; members && i < members->len; i++) {
@@ -111,48 +173,41 @@
         g_strlcpy(m->hull, b->hull, sizeof m->hull);
         g_strlcpy(m->yard, b->yard, sizeof m->yard);
         m->loaners = b->loaners;
-        if (m->shard == s && m->member_term == b->term)
-            continue;
-        if (m->shard != s) {
-            mv_reset_machine(c, m);
-            m->rented_at = mv_from_wall(c, b->at);
-            /* It entered the block under our grant: nothing of this block can be on it. */
-            m->fresh = s->stamp != 0 && stamp > s->grant_stamp && c->synced;
-        }
-        m->shard = s;
-        m->member_term = b->term;
-        m->confirmed = false; /* a higher token has to be seen by the worker first */
-        m->give_back = false;
+        if (m->shard != s || m->chunk != part || m->member_term != b->term)
+            enter_part(c, s, k, m, b, stamp);
     }
-    GHashTableIter it;
-    gpointer v;
-    g_autoptr(GPtrArray) left = g_ptr_array_new();
-    g_hash_table_iter_init(&it, c->machines);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        machine *m = v;
-        if (m->shard == s && !g_hash_table_contains(present, m->id))
-            g_ptr_array_add(left, m);
+    for (guint i = k->members->len; i-- > 0;) {
+        machine *m = g_ptr_array_index(k->members, i);
+        if (g_hash_table_contains(present, m->id))
+            continue;
+        leave_part(m);
+        mv_machine_left(c, m);
     }
-    for (guint i = 0; i < left->len; i++)
-        mv_machine_left(c, g_ptr_array_index(left, i));
 }
 
-void mv_record_used(mv_core *c, unsigned index, const msgpack_object *o, uint64_t stamp)
+void mv_record_used(mv_core *c, unsigned index, unsigned part, const msgpack_object *o,
+                    uint64_t stamp)
 {
-    shard *s = shard_get(c, index);
-    s->used_stamp = o ? stamp : 0;
-    g_hash_table_remove_all(s->used);
+    chunk *k = mv_chunk(mv_shard_get(c, index), part);
+    k->used_stamp = o ? stamp : 0;
+    g_hash_table_remove_all(k->used);
     const msgpack_object_array *list = o ? mv_get_list(o, R_MACHINES) : NULL;
-    for (uint32_t i = 0; list && i < list->size; i++) {
+    for (uint32_t i = 0; list && i + 1 < list->size; i += 2) {
         char id[MV_NAME_SIZE], address[64];
-        if (mv_get_text(&list->ptr[i], N_ID, id, sizeof id) != MV_GOT)
+        if (!mv_text_copy(&list->ptr[i], id, sizeof id) ||
+            !mv_text_copy(&list->ptr[i + 1], address, sizeof address))
             continue;
-        g_hash_table_add(s->used, g_strdup(id));
+        g_hash_table_add(k->used, g_strdup(id));
         machine *m = g_hash_table_lookup(c->machines, id);
-        if (m && mv_get_text(&list->ptr[i], N_ADDRESS, address, sizeof address) == MV_GOT &&
-            !m->address[0])
+        if (m && !m->address[0])
             g_strlcpy(m->address, address, sizeof m->address);
     }
+    k->unrecorded = 0;
+    for (guint i = 0; i < k->members->len; i++) {
+        machine *m = g_ptr_array_index(k->members, i);
+        m->used = g_hash_table_contains(k->used, m->id);
+        k->unrecorded += m->confirmed && !m->used;
+    }
 }
 
 /* --- election --- */
@@ -234,9 +289,24 @@
     return best;
 }
 
+/* Machines that the teams' guarantees alone would fill, or that are there already. */
+static double fleet_size(const mv_core *c)
+{
+    double most = 0, guaranteed = 0;
+    for (guint i = 0; c->types && i < c->types->len; i++)
+        most = MAX(most, g_array_index(c->types, mv_type, i).cores);
+    for (size_t i = 0; i < c->conf->n_teams; i++)
+        guaranteed += c->conf->teams[i].cpus;
+    return MAX(most > 0 ? guaranteed / most : 0, (double)c->turn->len);
+}
+
+/* One block keeps the room of a small fleet together; a large one is more than one controller's
+ * processor can serve. Shards are only ever added, so that noise moves nothing. */
 static unsigned wanted_shards(const mv_core *c)
 {
-    return c->conf->tune.shards ? c->conf->tune.shards : c->conf->count;
+    if (c->conf->tune.shards)
+        return c->conf->tune.shards;
+    return fleet_size(c) >= MV_SPLIT_MACHINES ? c->conf->count : 1;
 }
 
 /* A team that no shard names goes to the shard with the least guaranteed to its teams. */
@@ -312,8 +382,10 @@
 {
     if (mv_pending(&c->grant_txn, c->grant_txn_at, c->now) || g_hash_table_size(c->nodes) == 0)
         return;
-    unsigned n = c->shards->len ? c->shards->len : wanted_shards(c);
-    n = MIN(n, c->conf->txn_ops - 1);
+    if (c->shards->len == 0 && !c->types)
+        return; /* how large the fleet will be cannot be told yet */
+    unsigned n = MAX(c->shards->len, wanted_shards(c));
+    n = MIN(MIN(n, c->conf->txn_ops - 1), MV_MAX_SHARDS);
     g_autofree mv_holder *holders = g_new0(mv_holder, n);
     g_autofree bool *change = g_new0(bool, n);
     g_autoptr(GHashTable) extra = g_hash_table_new(g_str_hash, g_str_equal);
@@ -322,7 +394,7 @@
     uint64_t term = c->term;
     bool any = false;
     for (unsigned i = 0; i < n; i++) {
-        shard *s = shard_get(c, i);
+        shard *s = mv_shard_get(c, i);
         holders[i] = s->holder;
         holders[i].teams = copy_teams(s->holder.teams);
         bool dead = !s->stamp || !live(c, &s->holder);
@@ -381,61 +453,83 @@
 
 /* --- duties of a holder --- */
 
-/* Machines that may hold tasks are recorded before the first launch: whoever takes over need not
- * wait for the others, which may still be booting. */
-static void record_use(mv_core *c, shard *s)
+static void add_used(const shard *s, const chunk *k, mv_action *a)
 {
-    if (mv_pending(&s->used_txn, s->used_txn_at, c->now) || !mv_session_ok(c))
-        return;
-    bool missing = false;
-    unsigned stale = 0;
-    g_autoptr(GPtrArray) list = g_ptr_array_new();
-    GHashTableIter it;
-    gpointer v;
-    g_hash_table_iter_init(&it, c->machines);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        machine *m = v;
-        if (m->shard != s)
-            continue;
-        bool used = g_hash_table_contains(s->used, m->id);
-        if (used || m->confirmed)
-            g_ptr_array_add(list, m);
-        missing = missing || (m->confirmed && !used);
-    }
-    stale = g_hash_table_size(s->used);
-    if (!missing && stale < list->len + MV_USED_SLACK)
-        return;
+    char key[MV_KEY_SIZE];
     mv_out *o = mv_out_new();
+    guint n = 0;
+    for (guint i = 0; i < k->members->len; i++) {
+        const machine *m = g_ptr_array_index(k->members, i);
+        n += m->used || m->confirmed;
+    }
     mv_put_map(o, 1);
     mv_put_text(o, R_MACHINES);
-    mv_put_list(o, list->len);
-    for (guint i = 0; i < list->len; i++) {
-        const machine *m = g_ptr_array_index(list, i);
-        mv_put_map(o, 2);
-        mv_field_text(o, N_ID, m->id);
-        mv_field_text(o, N_ADDRESS, m->address);
+    mv_put_list(o, 2 * n); /* name and address by turns */
+    for (guint i = 0; i < k->members->len; i++) {
+        const machine *m = g_ptr_array_index(k->members, i);
+        if (!m->used && !m->confirmed)
+            continue;
+        mv_put_text(o, m->id);
+        mv_put_text(o, m->address);
     }
-    char key[MV_KEY_SIZE], shard_key[MV_KEY_SIZE];
-    g_snprintf(key, sizeof key, K_USED "%u", s->index);
-    g_snprintf(shard_key, sizeof shard_key, K_SHARD "%u", s->index);
-    mv_action *a = mv_txn(c, true);
-    mv_txn_if(a, shard_key, s->stamp);
-    mv_txn_if(a, key, s->used_stamp);
+    g_snprintf(key, sizeof key, K_USED "%u/%u", s->index, k->index);
+    mv_txn_if(a, key, k->used_stamp);
     mv_txn_set(a, key, mv_out_take(o), false);
+}
+
+static chunk *most_unrecorded(const shard *s, const chunk *const *taken, unsigned n)
+{
+    chunk *best = NULL;
+    for (guint i = 0; i < s->chunks->len; i++) {
+        chunk *k = g_ptr_array_index(s->chunks, i);
+        bool chosen = k->unrecorded == 0;
+        for (unsigned x = 0; x < n && !chosen; x++)
+            chosen = taken[x] == k;
+        if (!chosen && (!best || k->unrecorded > best->unrecorded))
+            best = k;
+    }
+    return best;
+}
+
+/* Machines that may hold tasks are recorded before the first launch: whoever takes over need not
+ * wait for the others, which may still be booting. While a large fleet boots, each part would be
+ * written again for every machine: a pause lets several share a write. */
+static void record_use(mv_core *c, shard *s)
+{
+    double pause = s->chunks->len > MV_RECORD_PARTS ? MV_RECORD_PAUSE_S : 0;
+    if (mv_pending(&s->used_txn, s->used_txn_at, c->now) || !mv_session_ok(c) ||
+        c->now < s->recorded_at + pause)
+        return;
+    const chunk *taken[MV_RECORD_PARTS];
+    mv_action *a = NULL;
+    char shard_key[MV_KEY_SIZE];
+    for (unsigned n = 0; n < MIN(MV_RECORD_PARTS, c->conf->txn_ops); n++) {
+        chunk *k = most_unrecorded(s, taken, n);
+        if (!k)
+            break;
+        if (!a) {
+            a = mv_txn(c, true);
+            g_snprintf(shard_key, sizeof shard_key, K_SHARD "%u", s->index);
+            mv_txn_if(a, shard_key, s->stamp);
+        }
+        add_used(s, k, a);
+        taken[n] = k;
+    }
+    if (!a)
+        return;
     s->used_txn = a->id;
-    s->used_txn_at = c->now;
+    s->used_txn_at = s->recorded_at = c->now;
 }
 
 static void check_rebuilt(mv_core *c, shard *s)
 {
     if (s->rebuilt)
         return;
-    GHashTableIter it;
-    gpointer v;
-    g_hash_table_iter_init(&it, c->machines);
-    while (g_hash_table_iter_next(&it, NULL, &v))
-        if (((machine *)v)->shard == s && mv_may_hold_tasks(v))
+    for (guint i = 0; i < c->turn->len; i++) {
+        const machine *m = g_ptr_array_index(c->turn, i);
+        if (m->shard == s && mv_may_hold_tasks(m))
             return;
+    }
     s->rebuilt = true;
     c->want_round = true;
     mv_info("rebuilt", "shard=%u term=%" G_GUINT64_FORMAT " after_s=%.2f", s->index, s->holder.term,
--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -16,6 +16,8 @@
     p->cards = j->spec.cards;
     p->ram_gb = j->spec.ram_gb;
     p->placed_at = c->now;
+    p->of = j;
+    mv_room_add(&m->taken, p, 1);
     p->team->used_cores += p->cores;
     p->team->used_cards += p->cards;
     g_ptr_array_add(m->placements, p);
@@ -23,79 +25,60 @@
     j->n_placed++;
 }
 
-static bool aims_at_class(const mv_objective *o, mv_objective_kind kind, const job *j)
-{
-    return o->kind == kind && strcmp(o->lane, j->spec.lane) == 0;
-}
-
-/* Whether the class of the job has an aim for its start, not just its team's guarantee. */
-static bool rush(const mv_core *c, const job *j)
-{
-    for (size_t i = 0; i < c->conf->n_objectives; i++)
-        if (aims_at_class(&c->conf->objectives[i], MV_OBJ_WAIT, j))
-            return true;
-    return false;
-}
-
 /* --- limits --- */
 
 /* Tasks of a predecessor on machines not yet heard of count at the most they can be. */
-static void unknown_use(const mv_core *c, const shard *s, double *cores, double *cards)
+static void note_unknown(mv_core *c)
 {
-    *cores = *cards = 0;
+    g_ptr_array_set_size(c->silent, 0);
+    for (guint i = 0; i < c->shards->len; i++)
+        ((shard *)g_ptr_array_index(c->shards, i))->unknown = (mv_room){0};
     for (guint i = 0; i < c->turn->len; i++) {
-        const machine *m = g_ptr_array_index(c->turn, i);
+        machine *m = g_ptr_array_index(c->turn, i);
+        bool silent = mv_may_hold_tasks(m);
         const mv_type *t = mv_type_of(c, m);
-        if (m->shard == s && t && !GUARD(UNKNOWN, !mv_may_hold_tasks(m) && !m->strangers)) {
-            *cores += t->cores;
-            *cards += t->cards;
+        if (silent)
+            g_ptr_array_add(c->silent, m);
+        if (m->shard && t && !GUARD(UNKNOWN, !silent && !m->strangers)) {
+            m->shard->unknown.cores += t->cores;
+            m->shard->unknown.cards += t->cards;
         }
     }
 }
 
-double mv_unknown_cores(const mv_core *c, const shard *s)
-{
-    double cores, cards;
-    unknown_use(c, s, &cores, &cards);
-    return cores;
-}
-
 /* Work that must start soon finds room within its team's limit: the team's other work leaves some,
  * as much as such jobs lately took. A full limit was what most rush work waited for. */
-static double kept_free(const mv_core *c, const job *j)
+static double kept_free(const job *j)
 {
     const team *t = j->team;
-    if (rush(c, j))
+    if (j->rush)
         return 0;
     double keep = MIN(t->soon_size, MV_KEEP_SHARE * t->conf->cpus_max);
     return MAX(0, keep - t->soon_used);
 }
 
-static bool within_limit(const mv_core *c, const job *j)
+static bool within_limit(const job *j)
 {
     const mv_team *t = j->team->conf;
-    double cores, cards;
-    if (t->cpus_max <= 0 && t->gpus_max <= 0)
-        return true;
-    unknown_use(c, j->team->shard, &cores, &cards);
+    const mv_room *unknown = &j->home->unknown;
     bool cores_fit =
-        t->cpus_max <= 0 ||
-        j->team->used_cores + cores + j->spec.cores + kept_free(c, j) <= t->cpus_max + MV_ROUNDING;
-    bool cards_fit = t->gpus_max <= 0 ||
-                     j->team->used_cards + cards + j->spec.cards <= t->gpus_max + MV_ROUNDING;
+        t->cpus_max <= 0 || j->team->used_cores + unknown->cores + j->spec.cores + kept_free(j) <=
+                                t->cpus_max + MV_ROUNDING;
+    bool cards_fit =
+        t->gpus_max <= 0 ||
+        j->team->used_cards + unknown->cards + j->spec.cards <= t->gpus_max + MV_ROUNDING;
     return GUARD(LIMIT, cores_fit && cards_fit);
 }
 
 /* After a take-over a task known from before may run on a machine that is still silent. */
-static bool perhaps_running(const mv_core *c, const job *j)
+static bool perhaps_running(const mv_core *c, job *j)
 {
-    const shard *s = j->team->shard;
+    const shard *s = j->home;
     if (s->rebuilt || j->stamp > s->grant_stamp)
         return false;
-    for (guint i = 0; i < c->turn->len; i++) {
-        const machine *m = g_ptr_array_index(c->turn, i);
-        bool holds_none =
-            m->shard != s || !mv_may_hold_tasks(m) || (mv_type_of(c, m) && !mv_allowed_on(c, j, m));
+    for (guint i = 0; i < c->silent->len; i++) {
+        const machine *m = g_ptr_array_index(c->silent, i);
+        bool holds_none = m->shard != s || (mv_type_of(c, m) && !mv_allowed_on(c, j, m));
         if (!GUARD(REBUILD, holds_none))
             return true;
     }
@@ -130,24 +113,20 @@
 
 static bool has_room(const mv_core *c, const job *j, const machine *m)
 {
-    double cores, cards, ram, later_cores, later_cards, later_ram;
     if (m->placements->len >= MV_MAX_ON_MACHINE)
         return false;
-    mv_machine_free_room(c, m, &cores, &cards, &ram);
     /* Room that others are being stopped for is not for whoever comes next. */
-    mv_coming_room(c, m, &later_cores, &later_cards, &later_ram);
-    return mv_fits(j, MIN(cores, later_cores), MIN(cards, later_cards), MIN(ram, later_ram));
+    mv_room now = mv_free_room(c, m), later = mv_coming_room(c, m);
+    return mv_fits(j, &now) && mv_fits(j, &later);
 }
 
 /* The shortest time within which an aim wants this job's tasks started; G_MAXDOUBLE: none. */
 double mv_start_aim(const mv_core *c, const job *j)
 {
-    double aim = G_MAXDOUBLE;
-    for (size_t i = 0; i < c->conf->n_objectives; i++) {
+    double aim = j->rush_aim;
+    for (size_t i = 0; j->guaranteed && i < c->conf->n_objectives; i++) {
         const mv_objective *o = &c->conf->objectives[i];
-        bool applies =
-            aims_at_class(o, MV_OBJ_WAIT, j) || (o->kind == MV_OBJ_GUARANTEE && j->guaranteed);
-        if (applies)
+        if (o->kind == MV_OBJ_GUARANTEE)
             aim = MIN(aim, o->within_s);
     }
     return aim;
@@ -180,13 +159,12 @@
 /* Seconds until the image would be there; a fetch that is under way for another task counts. */
 double mv_fetch_left(const mv_core *c, const job *j, const machine *m)
 {
-    if (mv_has_image(m, j->spec.bundle))
+    if (mv_has_image(m, j->image))
         return 0;
     double left = fetch_time(c, j, m);
     for (guint i = 0; i < m->placements->len; i++) {
         const placement *p = g_ptr_array_index(m->placements, i);
-        const job *other = g_hash_table_lookup(c->jobs, p->job);
-        if (other && p->running_at == 0 && strcmp(other->spec.bundle, j->spec.bundle) == 0)
+        if (p->of && p->running_at == 0 && p->of->image == j->image)
             left = MIN(left, MAX(0, left - (c->now - p->placed_at)));
     }
     return left;
@@ -194,12 +172,13 @@
 
 static worth worth_of(const mv_core *c, const job *j, const machine *m)
 {
-    worth w = {.last = mv_is_slow(m) || g_hash_table_contains(m->failed_jobs, j->spec.id),
-               .bytes = mv_has_image(m, j->spec.bundle) ? MAX(j->spec.pull_gb, MV_ROUNDING) : 0};
+    bool failed_here =
+        g_hash_table_size(m->failed_jobs) && g_hash_table_contains(m->failed_jobs, j->spec.id);
+    worth w = {.last = mv_is_slow(m) || failed_here,
+               .bytes = mv_has_image(m, j->image) ? MAX(j->spec.pull_gb, MV_ROUNDING) : 0};
     w.fetch = mv_starts_soon(c, j) ? mv_fetch_left(c, j, m) : 0;
-    double cards, ram;
     if (j->spec.cores < c->large_cores)
-        mv_machine_free_room(c, m, &w.left, &cards, &ram);
+        w.left = mv_free_room(c, m).cores;
     return w;
 }
 
@@ -214,31 +193,60 @@
     return a->left < b->left - MV_ROUNDING;
 }
 
-static machine *choose(mv_core *c, const job *j)
+typedef struct {
+    machine *m;
+    worth w;
+    guint turn; /* places after the one whose turn it is */
+} candidate;
+
+static gint by_worth(gconstpointer a, gconstpointer b)
+{
+    const candidate *x = a, *y = b;
+    if (better(&x->w, &y->w))
+        return -1;
+    if (better(&y->w, &x->w))
+        return 1;
+    return x->turn < y->turn ? -1 : x->turn > y->turn;
+}
+
+/* Machines with room for a task of the job, best first; `cached` tells whether any machine at all,
+ * with room or without, has its image. */
+static GArray *candidates(mv_core *c, job *j, bool *cached)
+{
+    GArray *out = g_array_new(FALSE, FALSE, sizeof(candidate));
+    guint n = c->turn->len;
+    *cached = false;
+    for (guint i = 0; i < c->open->len; i++) {
+        machine *m = g_ptr_array_index(c->open, i);
+        if (m->shard != j->home || !mv_allowed_on(c, j, m))
+            continue;
+        *cached = *cached || mv_has_image(m, j->image);
+        if (!has_room(c, j, m))
+            continue;
+        candidate x = {.m = m, .w = worth_of(c, j, m), .turn = (m->at + n - c->next_turn % n) % n};
+        g_array_append_val(out, x);
+    }
+    g_array_sort(out, by_worth);
+    return out;
+}
+
+/* For the tests: one task's machine by the plain definition, without the batches below. */
+machine *mv_choose_plainly(mv_core *c, job *j)
 {
-    bool cached_somewhere = false;
     machine *best = NULL;
     worth best_worth = {0};
-    guint best_at = 0;
-    for (guint k = 0; k < c->turn->len; k++) {
-        guint at = (c->next_turn + k) % c->turn->len;
-        machine *m = g_ptr_array_index(c->turn, at);
-        if (m->shard != j->team->shard || !mv_usable(c, m) || c->now < m->no_room_until ||
-            !mv_allowed_on(c, j, m))
+    guint n = c->turn->len;
+    for (guint k = 0; k < n; k++) {
+        machine *m = g_ptr_array_index(c->turn, (c->next_turn + k) % n);
+        if (m->shard != j->home || !mv_usable(c, m) || c->now < m->no_room_until ||
+            !mv_allowed_on(c, j, m) || !has_room(c, j, m) || !zone_ok(c, j, m))
             continue;
         worth w = worth_of(c, j, m);
-        cached_somewhere = cached_somewhere || w.bytes > 0;
-        if ((best && !better(&w, &best_worth)) || !has_room(c, j, m) || !zone_ok(c, j, m))
+        if (best && !better(&w, &best_worth))
             continue;
         best = m;
         best_worth = w;
-        best_at = at;
     }
-    if (!best)
-        return NULL;
-    if (cached_somewhere && best_worth.bytes == 0 && c->now < j->ready_at + image_wait(c, j, best))
-        return NULL; /* a machine that has the image may get room */
-    c->next_turn = best_at + 1;
     return best;
 }
 
@@ -251,12 +259,13 @@
     /* The term makes attempts of successive owners differ, the counter those of one owner. */
     p->attempt = (mv_token(m) << MV_ATTEMPT_BITS) | (++c->attempts & ((1u << MV_ATTEMPT_BITS) - 1));
     mv_note_placed(c, m, j, p);
-    if (rush(c, j))
+    if (j->rush)
         j->team->soon_used += p->cores;
-    m->wants_command = true;
+    mv_want_command(c, m);
+    c->next_turn = m->at + 1;
     c->counts.placed++;
     mv_debug("place", "piece=%s/%u machine=%s waited_s=%.2f cached=%d", j->spec.id, p->piece, m->id,
-             c->now - j->ready_at, mv_has_image(m, j->spec.bundle));
+             c->now - j->ready_at, mv_has_image(m, j->image));
 }
 
 /* --- order --- */
@@ -269,18 +278,6 @@
     return strcmp(x->spec.id, y->spec.id);
 }
 
-/* When the job should be over: its own deadline or the aim of its class, whichever is sooner. */
-static double due_at(const mv_core *c, const job *j)
-{
-    double due = j->spec.due_s < 0 ? G_MAXDOUBLE : j->spec.due_s;
-    for (size_t i = 0; i < c->conf->n_objectives; i++) {
-        const mv_objective *o = &c->conf->objectives[i];
-        if (aims_at_class(o, MV_OBJ_FINISHED, j))
-            due = MIN(due, o->within_s);
-    }
-    return due == G_MAXDOUBLE ? due : j->accepted_at + due;
-}
-
 /* Guaranteed work first, then urgency; then what can still be in time before what cannot (serving
  * the hopeless first makes the rest hopeless too), and of that the least work first. */
 static gint by_claim(gconstpointer a, gconstpointer b)
@@ -298,9 +295,9 @@
 }
 
 /* What a team's work that must start soon uses now, and how much such a job usually asks. */
-static void note_soon(const mv_core *c, job *j)
+static void note_soon(job *j)
 {
-    if (!rush(c, j))
+    if (!j->rush)
         return;
     j->team->soon_used += j->n_placed * j->spec.cores;
     if (!j->counted)
@@ -324,29 +321,52 @@
         size_t t = (size_t)(j->team - c->teams);
         sum[t] += j->spec.cores * (j->spec.pieces - j->n_done);
         j->guaranteed = j->team->conf->cpus > 0 && sum[t] <= j->team->conf->cpus + MV_ROUNDING;
-        double due = due_at(c, j);
         double run = mv_job_guess(c, j);
-        j->doomed = due < c->now + run;
+        j->doomed = j->finish_by < c->now + run;
         j->work = j->spec.cores * j->waiting->len * run;
-        note_soon(c, j);
+        note_soon(j);
     }
 }
 
+/* Places tasks on the best machines. What is told to each machine does not change another's worth,
+ * so one sorted list serves all tasks of the job: among machines of like worth they go in turn, one
+ * each, and where the fullest comes first it stays the fullest until it has no more room. */
 static void fill_from(mv_core *c, job *j)
 {
-    while (j->waiting->len && within_limit(c, j)) {
-        machine *m = choose(c, j);
-        if (!m)
-            return;
-        place(c, j, m);
+    bool cached;
+    g_autoptr(GArray) list = candidates(c, j, &cached);
+    guint from = 0;
+    while (from < list->len && j->waiting->len) {
+        const candidate *first = &g_array_index(list, candidate, from);
+        if (cached && first->w.bytes == 0 && c->now < j->ready_at + image_wait(c, j, first->m))
+            return; /* a machine that has the image may get room */
+        bool fullest = j->spec.cores < c->large_cores;
+        guint to = from + 1;
+        while (!fullest && to < list->len &&
+               !better(&first->w, &g_array_index(list, candidate, to).w))
+            to++;
+        bool any = true;
+        while (any) {
+            any = false;
+            for (guint i = from; i < to && j->waiting->len; i++) {
+                machine *m = g_array_index(list, candidate, i).m;
+                if (!within_limit(j))
+                    return;
+                if (!has_room(c, j, m) || !zone_ok(c, j, m))
+                    continue;
+                place(c, j, m);
+                any = true;
+            }
+        }
+        from = to;
     }
 }
 
-void mv_place_round(mv_core *c)
+/* Jobs of ours that wait, with what the order needs; `waiting` and `running` count tasks. */
+static GPtrArray *jobs_of_round(mv_core *c)
 {
-    c->counts.rounds++;
-    g_autoptr(GPtrArray) jobs = g_ptr_array_new();
-    unsigned waiting = 0, running = 0;
+    GPtrArray *jobs = g_ptr_array_new();
+    c->counts.waiting = c->counts.running = 0;
     GHashTableIter it;
     gpointer v;
     g_hash_table_iter_init(&it, c->jobs);
@@ -355,10 +375,32 @@
         if (!mv_job_mine(c, j))
             continue;
         g_ptr_array_add(jobs, j);
-        waiting += j->waiting->len;
-        running += j->n_running;
+        c->counts.waiting += j->waiting->len;
+        c->counts.running += j->n_running;
     }
+    return jobs;
+}
+
+/* Machines that may take something in this round, looked up once for all its jobs. */
+static void open_machines(mv_core *c)
+{
+    g_ptr_array_set_size(c->open, 0);
+    for (guint i = 0; i < c->turn->len; i++) {
+        machine *m = g_ptr_array_index(c->turn, i);
+        if (mv_usable(c, m) && c->now >= m->no_room_until)
+            g_ptr_array_add(c->open, m);
+    }
+}
+
+void mv_place_round(mv_core *c)
+{
+    c->counts.rounds++;
+    g_autoptr(GPtrArray) jobs = jobs_of_round(c);
     judge(c, jobs);
+    if (c->counts.waiting == 0)
+        return;
+    note_unknown(c);
+    open_machines(c);
     mv_preempt_begin(c);
     g_ptr_array_sort(jobs, by_claim);
     for (guint i = 0; i < jobs->len; i++) {
@@ -369,6 +411,4 @@
         if (j->waiting->len)
             mv_preempt_for(c, j);
     }
-    c->counts.waiting = waiting;
-    c->counts.running = running;
 }
--- a/src/coordination/preemption.c
+++ b/src/coordination/preemption.c
@@ -35,96 +35,95 @@
     return d < 0 ? -1 : d > 0;
 }
 
-static GArray *victims_on(const mv_core *c, const job *claimant, const machine *m)
+/* Those on a machine that may give way to the claimant, least loss first, into `out`. */
+static void victims_on(const mv_core *c, const job *claimant, const machine *m, GArray *out)
 {
-    GArray *out = g_array_new(FALSE, TRUE, sizeof(victim));
+    g_array_set_size(out, 0);
     for (guint i = 0; i < m->placements->len; i++) {
         placement *p = g_ptr_array_index(m->placements, i);
-        const job *j = g_hash_table_lookup(c->jobs, p->job);
         /* A launch that is still under way cannot be stopped for certain. */
-        if (!j || p->stopping || !p->seen || !may_stop(claimant, j))
+        if (!p->of || p->stopping || !p->seen || !may_stop(claimant, p->of))
             continue;
-        victim v = {.p = p, .lost = lost_work(c, p, j)};
+        victim v = {.p = p, .lost = lost_work(c, p, p->of)};
         g_array_append_val(out, v);
     }
-    g_array_sort(out, by_loss);
-    return out;
+    if (out->len > 1)
+        g_array_sort(out, by_loss);
 }
 
 /* Room there will be once all that is told to stop has gone, less what is promised already. */
-void mv_coming_room(const mv_core *c, const machine *m, double *cores, double *cards, double *ram)
+mv_room mv_coming_room(const mv_core *c, const machine *m)
 {
-    mv_machine_free_room(c, m, cores, cards, ram);
-    *cores -= m->promised_cores;
-    *cards -= m->promised_cards;
-    *ram -= m->promised_ram;
-    for (guint i = 0; i < m->placements->len; i++) {
-        const placement *p = g_ptr_array_index(m->placements, i);
-        if (!p->stopping)
-            continue;
-        *cores += p->cores;
-        *cards += p->cards;
-        *ram += p->ram_gb;
-    }
+    mv_room r = mv_free_room(c, m);
+    r.cores += m->ending.cores - m->promised.cores;
+    r.cards += m->ending.cards - m->promised.cards;
+    r.ram += m->ending.ram - m->promised.ram;
+    return r;
 }
 
-bool mv_fits(const job *j, double cores, double cards, double ram)
+bool mv_fits(const job *j, const mv_room *room)
 {
-    return j->spec.cores <= cores + MV_ROUNDING && j->spec.cards <= cards + MV_ROUNDING &&
-           j->spec.ram_gb <= ram + MV_ROUNDING;
+    return j->spec.cores <= room->cores + MV_ROUNDING &&
+           j->spec.cards <= room->cards + MV_ROUNDING &&
+           j->spec.ram_gb <= room->ram + MV_ROUNDING;
 }
 
 /* How many of the cheapest victims there are needed, and what they lose; -1: not enough. */
 static int price_of(const mv_core *c, const job *j, const machine *m, const GArray *victims,
                     double *lost)
 {
-    double cores, cards, ram;
-    mv_coming_room(c, m, &cores, &cards, &ram);
+    mv_room room = mv_coming_room(c, m);
     *lost = 0;
     for (guint n = 0;; n++) {
-        if (mv_fits(j, cores, cards, ram))
+        if (mv_fits(j, &room))
             return (int)n;
         if (n == victims->len)
             return -1;
         const victim *v = &g_array_index(victims, victim, n);
-        cores += v->p->cores;
-        cards += v->p->cards;
-        ram += v->p->ram_gb;
+        mv_room_add(&room, v->p, 1);
         *lost += v->lost;
     }
 }
 
-static machine *cheapest(mv_core *c, const job *j, int *count)
+typedef struct {
+    machine *m;
+    double lost;
+} place_to_clear;
+
+static gint by_price(gconstpointer a, gconstpointer b)
+{
+    const place_to_clear *x = a, *y = b;
+    if (x->lost != y->lost)
+        return x->lost < y->lost ? -1 : 1;
+    return x->m->at < y->m->at ? -1 : x->m->at > y->m->at;
+}
+
+/* Machines where room can be made, cheapest first. */
+static GArray *places_to_clear(mv_core *c, job *j, GArray *victims)
 {
-    machine *best = NULL;
-    double best_lost = 0;
-    for (guint i = 0; i < c->turn->len; i++) {
-        machine *m = g_ptr_array_index(c->turn, i);
-        if (m->shard != j->team->shard || !mv_usable(c, m) || !mv_allowed_on(c, j, m))
+    GArray *out = g_array_new(FALSE, FALSE, sizeof(place_to_clear));
+    for (guint i = 0; i < c->open->len; i++) {
+        machine *m = g_ptr_array_index(c->open, i);
+        if (m->shard != j->home || !mv_allowed_on(c, j, m))
+            continue;
+        place_to_clear x = {.m = m};
+        victims_on(c, j, m, victims);
+        if (price_of(c, j, m, victims, &x.lost) < 0)
             continue;
-        double lost;
-        g_autoptr(GArray) victims = victims_on(c, j, m);
-        int n = price_of(c, j, m, victims, &lost);
         /* Where the image takes longer to come than the aim allows, the room is worth less. */
         double fetch = mv_fetch_left(c, j, m);
-        lost += fetch > mv_start_aim(c, j) ? fetch * j->spec.cores : 0;
-        if (n < 0 || (best && lost >= best_lost))
-            continue;
-        best = m;
-        best_lost = lost;
-        *count = n;
+        x.lost += fetch > mv_start_aim(c, j) ? fetch * j->spec.cores : 0;
+        g_array_append_val(out, x);
     }
-    return best;
+    g_array_sort(out, by_price);
+    return out;
 }
 
-static void stop_victims(mv_core *c, const job *j, machine *m, int count)
+static void stop_victims(mv_core *c, const job *j, machine *m, const GArray *victims, int count)
 {
-    g_autoptr(GArray) victims = victims_on(c, j, m);
     for (int i = 0; i < count; i++) {
         const victim *v = &g_array_index(victims, victim, (guint)i);
-        v->p->stopping = true;
-        v->p->team->stopping_cores += v->p->cores;
-        m->wants_command = true;
+        mv_stop_placement(c, m, v->p);
         c->counts.preempted++;
         mv_debug("preempt", "piece=%s/%u machine=%s for=%s lost=%.0f", v->p->job, v->p->piece,
                  m->id, j->spec.id, v->lost);
@@ -137,88 +136,103 @@
     return mv_start_aim(c, j) < MV_SOON_S;
 }
 
-static void promise(machine *m, const job *j)
+void mv_promise(mv_core *c, machine *m, const job *j)
 {
-    m->promised_cores += j->spec.cores;
-    m->promised_cards += j->spec.cards;
-    m->promised_ram += j->spec.ram_gb;
+    if (m->promised.cores == 0 && m->promised.ram == 0 && m->promised.cards == 0)
+        g_ptr_array_add(c->promised, m);
+    m->promised.cores += j->spec.cores;
+    m->promised.cards += j->spec.cards;
+    m->promised.ram += j->spec.ram_gb;
     j->team->promised_cores += j->spec.cores;
 }
 
 /* Whether the team's limit, not the machines, stands in the way, even once all that is told to stop
  * has gone. */
-static bool limit_short(const mv_core *c, const job *j)
+static bool limit_short(const job *j)
 {
     const team *t = j->team;
     double coming = t->used_cores - t->stopping_cores + t->promised_cores;
     return t->conf->cpus_max > 0 &&
-           coming + mv_unknown_cores(c, t->shard) + j->spec.cores > t->conf->cpus_max + MV_ROUNDING;
+           coming + j->home->unknown.cores + j->spec.cores > t->conf->cpus_max + MV_ROUNDING;
+}
+
+typedef struct {
+    machine *m;
+    victim v;
+} own_victim;
+
+static gint by_own_loss(gconstpointer a, gconstpointer b)
+{
+    const own_victim *x = a, *y = b;
+    return x->v.lost < y->v.lost ? -1 : x->v.lost > y->v.lost;
 }
 
 /* Room within the limit: the team's own work of lower urgency that loses least gives way. */
-static bool stop_own(mv_core *c, const job *j)
-{
-    machine *best = NULL;
-    placement *which = NULL;
-    double best_lost = 0;
-    for (guint i = 0; i < c->turn->len; i++) {
-        machine *m = g_ptr_array_index(c->turn, i);
-        if (m->shard != j->team->shard || !mv_usable(c, m) || !mv_allowed_on(c, j, m))
+static unsigned stop_own(mv_core *c, job *j, unsigned want)
+{
+    g_autoptr(GArray) list = g_array_new(FALSE, FALSE, sizeof(own_victim));
+    for (guint i = 0; i < c->open->len; i++) {
+        machine *m = g_ptr_array_index(c->open, i);
+        if (m->shard != j->home || !mv_allowed_on(c, j, m))
             continue;
         for (guint k = 0; k < m->placements->len; k++) {
             placement *p = g_ptr_array_index(m->placements, k);
-            const job *other = g_hash_table_lookup(c->jobs, p->job);
-            if (!other || p->team != j->team || p->stopping || !p->seen ||
-                p->cores < j->spec.cores || other->spec.urgency <= j->spec.urgency)
-                continue;
-            double lost = lost_work(c, p, other);
-            if (which && lost >= best_lost)
+            if (!p->of || p->team != j->team || p->stopping || !p->seen ||
+                p->cores < j->spec.cores || p->of->spec.urgency <= j->spec.urgency)
                 continue;
-            best = m;
-            which = p;
-            best_lost = lost;
+            own_victim x = {.m = m, .v = {.p = p, .lost = lost_work(c, p, p->of)}};
+            g_array_append_val(list, x);
         }
     }
-    if (!which)
-        return false;
-    which->stopping = true;
-    which->team->stopping_cores += which->cores;
-    best->wants_command = true;
-    c->counts.preempted++;
-    promise(best, j);
-    mv_debug("preempt_own", "piece=%s/%u machine=%s for=%s lost=%.0f", which->job, which->piece,
-             best->id, j->spec.id, best_lost);
-    return true;
+    g_array_sort(list, by_own_loss);
+    unsigned n = MIN(want, list->len);
+    for (unsigned i = 0; i < n; i++) {
+        const own_victim *x = &g_array_index(list, own_victim, i);
+        mv_stop_placement(c, x->m, x->v.p);
+        c->counts.preempted++;
+        mv_promise(c, x->m, j);
+        mv_debug("preempt_own", "piece=%s/%u machine=%s for=%s lost=%.0f", x->v.p->job,
+                 x->v.p->piece, x->m->id, j->spec.id, x->v.lost);
+    }
+    return n;
 }
 
-void mv_preempt_for(mv_core *c, job *j)
+/* Room for up to `want` tasks: one sorted list of machines serves them all. */
+static void clear_places(mv_core *c, job *j, unsigned want)
 {
-    for (unsigned i = 0; mv_starts_soon(c, j) && i < j->waiting->len; i++) {
-        int count = 0;
-        if (limit_short(c, j)) {
-            if (!stop_own(c, j))
-                return;
-            continue;
+    g_autoptr(GArray) victims = g_array_new(FALSE, FALSE, sizeof(victim));
+    g_autoptr(GArray) places = places_to_clear(c, j, victims);
+    for (guint i = 0; i < places->len && want; i++) {
+        machine *m = g_array_index(places, place_to_clear, i).m;
+        while (want && !limit_short(j)) {
+            double lost;
+            victims_on(c, j, m, victims);
+            int n = price_of(c, j, m, victims, &lost);
+            if (n < 0)
+                break;
+            stop_victims(c, j, m, victims, n);
+            mv_promise(c, m, j);
+            want--;
         }
-        machine *m = cheapest(c, j, &count);
-        if (!m)
-            return;
-        if (count)
-            stop_victims(c, j, m, count);
-        promise(m, j);
     }
 }
 
+void mv_preempt_for(mv_core *c, job *j)
+{
+    if (!mv_starts_soon(c, j))
+        return;
+    unsigned want = MIN(j->waiting->len, MV_PREEMPT_AT_ONCE);
+    if (limit_short(j))
+        want -= stop_own(c, j, want);
+    clear_places(c, j, want);
+}
+
+/* Promises hold within one round; those made for what is still waiting are made again. */
 void mv_preempt_begin(mv_core *c)
 {
     for (size_t i = 0; i < c->conf->n_teams; i++)
-        c->teams[i].stopping_cores = c->teams[i].promised_cores = 0;
-    for (guint i = 0; i < c->turn->len; i++) {
-        machine *m = g_ptr_array_index(c->turn, i);
-        m->promised_cores = m->promised_cards = m->promised_ram = 0;
-        for (guint k = 0; k < m->placements->len; k++) {
-            const placement *p = g_ptr_array_index(m->placements, k);
-            p->team->stopping_cores += p->stopping ? p->cores : 0;
-        }
-    }
+        c->teams[i].promised_cores = 0;
+    for (guint i = 0; i < c->promised->len; i++)
+        ((machine *)g_ptr_array_index(c->promised, i))->promised = (mv_room){0};
+    g_ptr_array_set_size(c->promised, 0);
 }
--- a/src/protocol/names.h
+++ b/src/protocol/names.h
@@ -133,5 +133,6 @@
 #define R_TEAMS "teams"
 #define R_MACHINES "machines"
 #define R_AT "at"
+#define R_HOME "home"
 #define R_BITS "bits"
 #endif
--- a/src/protocol/records.c
+++ b/src/protocol/records.c
@@ -95,18 +95,23 @@
     return mv_get_u64(o, R_TERM, n) == MV_GOT;
 }
 
-GBytes *mv_accepted_pack(const mv_job *job, double at)
+GBytes *mv_accepted_pack(const mv_job *job, unsigned home, double at)
 {
     mv_out *o = mv_out_new();
-    mv_job_write(o, job, 1);
+    mv_job_write(o, job, 2);
+    mv_field_u64(o, R_HOME, home);
     mv_field_num(o, R_AT, at);
     return mv_out_take(o);
 }
 
-bool mv_accepted_parse(const msgpack_object *o, mv_job *job, double *at)
+bool mv_accepted_parse(const msgpack_object *o, mv_job *job, unsigned *home, double *at)
 {
-    if (mv_job_parse(o, job) == NULL && mv_get_num(o, R_AT, at) == MV_GOT)
+    uint64_t n = 0;
+    if (mv_job_parse(o, job) == NULL && mv_get_num(o, R_AT, at) == MV_GOT &&
+        mv_get_u64(o, R_HOME, &n) == MV_GOT && n < MV_MAX_SHARDS) {
+        *home = (unsigned)n;
         return true;
+    }
     mv_job_clear(job);
     return false;
 }
--- a/src/protocol/records.h
+++ b/src/protocol/records.h
@@ -29,9 +29,9 @@
 GBytes *mv_counter_pack(uint64_t n);
 bool mv_counter_parse(const msgpack_object *o, uint64_t *n);
 
-/* An accepted job with the wall clock of its acceptance. */
-GBytes *mv_accepted_pack(const mv_job *job, double at);
-bool mv_accepted_parse(const msgpack_object *o, mv_job *job, double *at);
+/* An accepted job with the shard it belongs to and the wall clock of its acceptance. */
+GBytes *mv_accepted_pack(const mv_job *job, unsigned home, double at);
+bool mv_accepted_parse(const msgpack_object *o, mv_job *job, unsigned *home, double *at);
 
 /* Done tasks of one chunk as hex digits, and how many run. */
 GBytes *mv_progress_pack(const char *bits, unsigned running);
--- a/src/service/routes.c
+++ b/src/service/routes.c
@@ -130,7 +130,7 @@
 
 /* --- users --- */
 
-static void accept_job(mv_daemon *d, const mv_job *job, mv_reply *r)
+static void accept_job(mv_daemon *d, const mv_job *job, unsigned home, mv_reply *r)
 {
     char live[MV_KEY_SIZE], gone[MV_KEY_SIZE];
     g_snprintf(live, sizeof live, K_JOB "%s", job->id);
@@ -142,7 +142,7 @@
     g_array_append_val(conds, cond);
     g_strlcpy(cond.key, gone, sizeof cond.key);
     g_array_append_val(conds, cond);
-    mv_change change = {.data = mv_accepted_pack(job, (double)g_get_real_time() / 1e6)};
+    mv_change change = {.data = mv_accepted_pack(job, home, (double)g_get_real_time() / 1e6)};
     g_strlcpy(change.key, live, sizeof change.key);
     g_array_append_val(changes, change);
     mv_state_result result = mv_state_txn(mv_daemon_state(d), conds, changes, true);
@@ -177,10 +177,14 @@
         return;
     }
     double now;
-    mv_fit fit = mv_core_fits(mv_daemon_enter(d, &now), &job);
+    unsigned home = 0;
+    const mv_core *core = mv_daemon_enter(d, &now);
+    mv_fit fit = mv_core_fits(core, &job);
+    if (fit == MV_FITS && !mv_core_home(core, &job, &home))
+        fit = MV_CANNOT_SAY;
     mv_daemon_leave(d);
     if (fit == MV_FITS) {
-        accept_job(d, &job, r);
+        accept_job(d, &job, home, r);
     } else {
         /* An accepted job stays accepted, whatever the limits and types are by now. */
         final end = {0};
@@ -190,7 +194,7 @@
         if (k == KNOWN_NOT && fit == MV_NEVER_FITS)
             say_error(r, 422, "can never run", "no allowed machine or limit fits a task");
         else if (k == KNOWN_NOT)
-            say_error(r, 503, "machine types not known yet", NULL);
+            say_error(r, 503, "machine types or owners not known yet", NULL);
         else
             say_known(d, r, job.id, k, &end);
     }
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -675,7 +675,7 @@
     spec.loaners = j->spot;
     spec.guess_s = j->run_s;
     spec.due_s = -1;
-    return mv_accepted_pack(&spec, 1e6 + s->now);
+    return mv_accepted_pack(&spec, (unsigned)j->team % MAX(s->plan->shards, 1), 1e6 + s->now);
 }
 
 static int change_job(sim *s, const sim_job *j, uint64_t stamp, GBytes *live, GBytes *final)
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -216,7 +216,7 @@
         mv_report rep;
         mv_holder h;
         bool more, done;
-        unsigned pieces;
+        unsigned pieces, home;
         double at;
         if (mv_job_parse(o, &job) == NULL)
             g_assert_true(job.pieces >= 1 && job.pieces <= MV_MAX_PIECES && isfinite(job.cores));
@@ -226,7 +226,7 @@
         (void)mv_holder_parse(o, &h);
         mv_holder_clear(&h);
         (void)mv_final_parse(o, &done, &pieces);
-        if (mv_accepted_parse(o, &job, &at))
+        if (mv_accepted_parse(o, &job, &home, &at))
             mv_job_clear(&job);
         GArray *list = mv_list_parse(o, &more);
         if (list)
