--- a/src/constants.h
+++ b/src/constants.h
@@ -80,6 +80,8 @@
 #define MV_LEARN_WINDOW 30u   /* tasks over which the run time against guess_s is smoothed */
 #define MV_DEMAND_S 0.5       /* holders tell the leader what they need */
 #define MV_DEMAND_PER_MACHINE_S 0.001 /* and less often the more there is to tell */
+#define MV_OFFER_IDLE_S 0.7     /* idle this long before a machine is offered to other holders */
+#define MV_OFFER_KEEP 20u       /* one in so many of a block's machines is not offered */
 #define MV_PARTS_AT_ONCE 7u     /* parts of a block in one transaction: 64 KiB hold nine */
 #define MV_DEMAND_OLD_S 4.0   /* older demands are not acted upon */
 
--- a/src/coordination/core.h
+++ b/src/coordination/core.h
@@ -43,13 +43,14 @@
     char id[MV_NAME_SIZE];
     double idle_s, silent_s, used_cores, used_ram;
     bool fence, give_back, lost, leaving;
+    uint64_t offer; /* idle, and free to be moved while its use is recorded under this stamp; 0: no */
     bool up;    /* it has booted: heard of, or used by a holder before */
     bool heard; /* by this holder, just now */
 } mv_note;
 
 typedef struct {
     char node[MV_NAME_SIZE];
-    uint64_t incarnation;
+    uint64_t incarnation, term;
     unsigned shard;
     bool resign;
     GArray *wants; /* mv_want */
@@ -116,7 +117,10 @@
 void mv_core_release_done(mv_core *core, double now, uint64_t id, bool ok);
 void mv_core_list_page(mv_core *core, double now, uint64_t id, const GArray *listed, bool more);
 void mv_core_types(mv_core *core, double now, GArray *types); /* takes the list; NULL: failed */
-void mv_core_demand(mv_core *core, double now, mv_demand *demand); /* takes it */
+/* A holder's demand, for the leader, who takes it; whether other holders want idle machines. */
+bool mv_core_demand(mv_core *core, double now, mv_demand *demand);
+/* The leader's answer to our demand said so. */
+void mv_core_others_need(mv_core *core, double now);
 
 /* --- questions --- */
 typedef enum { MV_FITS, MV_NEVER_FITS, MV_CANNOT_SAY } mv_fit;
@@ -142,7 +146,8 @@
 GBytes *mv_core_overview(const mv_core *core, double now);
 
 typedef struct {
-    uint64_t rounds, placed, finished, requeued, preempted, faults, rented, released, takeovers;
+    uint64_t rounds, placed, finished, requeued, preempted, faults, rented, released, takeovers,
+        moved;
     unsigned jobs, waiting, running, machines, machines_up;
 } mv_core_counts;
 void mv_core_counts_get(const mv_core *core, mv_core_counts *out);
--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -23,6 +23,7 @@
     mv_demand *d = g_new0(mv_demand, 1);
     g_strlcpy(d->node, c->conf->node_name, sizeof d->node);
     d->incarnation = c->incarnation;
+    d->term = s->holder.term;
     d->shard = s->index;
     d->wants = g_array_new(FALSE, TRUE, sizeof(mv_want));
     d->notes = g_array_new(FALSE, TRUE, sizeof(mv_note));
@@ -65,7 +66,8 @@
                       * had used for machines that never booted. */
                      .up = m->confirmed || mv_may_hold_tasks(m),
                      .heard = heard_now,
-                     .leaving = leaving};
+                     .leaving = leaving,
+                     .offer = m->offer};
         n.used_cores = m->taken.cores;
         n.used_ram = m->taken.ram;
         g_strlcpy(n.id, m->id, sizeof n.id);
@@ -117,6 +119,54 @@
     }
 }
 
+/* --- idle machines for others ---
+ *
+ * A holder without waiting work offers idle machines when the leader says that others want some. An
+ * offered machine gets no work. The leader moves it on condition that the record of its use still
+ * has the stamp that the offer named; to take the offer back, the holder writes that record anew.
+ * So no move, however late it is carried out, meets a machine that was put to work again. */
+
+static bool waits_for_machines(const mv_core *c, const shard *s)
+{
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, c->jobs);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const job *j = v;
+        if (j->team && j->home == s && rentable_count(j) > 0)
+            return true;
+    }
+    return false;
+}
+
+static bool may_offer(const mv_core *c, const machine *m)
+{
+    return m->confirmed && m->used && !m->give_back && !m->faulty &&
+           !m->lost && !m->recall_at && !m->strangers && !m->command_id &&
+           m->placements->len == 0 && g_hash_table_size(m->sticky) == 0 &&
+           c->now - m->idle_since > MV_OFFER_IDLE_S;
+}
+
+static void offer_machines(mv_core *c, shard *s)
+{
+    bool wanted = c->others_need_at > 0 && c->now < c->others_need_at + MV_DEMAND_OLD_S;
+    bool busy = waits_for_machines(c, s);
+    unsigned keep = s->n_machines / MV_OFFER_KEEP + 1;
+    for (guint i = 0; i < c->turn->len; i++) {
+        machine *m = g_ptr_array_index(c->turn, i);
+        if (m->shard != s)
+            continue;
+        if (m->offer && (busy || !wanted)) {
+            mv_chunk(s, m->chunk)->withdraw = true;
+        } else if (!m->offer && wanted && !busy && may_offer(c, m)) {
+            if (keep > 0)
+                keep--;
+            else
+                m->offer = mv_chunk(s, m->chunk)->used_stamp;
+        }
+    }
+}
+
 static void take_demand(const mv_core *c, shard *s, mv_demand *d)
 {
     for (guint i = 0; i < d->notes->len; i++) {
@@ -136,6 +186,8 @@
     s->demand_got_at = c->now;
 }
 
+static bool others_need(const mv_core *c, const shard *s);
+
 static void tell_demand(mv_core *c)
 {
     for (guint i = 0; i < c->shards->len; i++) {
@@ -145,9 +197,12 @@
             continue;
         s->demand_at = c->now;
         offer_idle(c, s);
+        offer_machines(c, s);
         mv_demand *d = own_demand(c, s);
         if (mv_leads(c)) {
             take_demand(c, s, d);
+            if (others_need(c, s))
+                c->others_need_at = c->now;
         } else if (c->leader_stamp) {
             mv_action *a = mv_act(c, MV_ACT_DEMAND);
             a->demand = d;
@@ -158,16 +213,34 @@
     }
 }
 
-void mv_core_demand(mv_core *c, double now, mv_demand *d)
+static bool others_need(const mv_core *c, const shard *s)
+{
+    for (guint i = 0; i < c->shards->len; i++) {
+        const shard *other = g_ptr_array_index(c->shards, i);
+        if (other != s && other->unmet)
+            return true;
+    }
+    return false;
+}
+
+bool mv_core_demand(mv_core *c, double now, mv_demand *d)
 {
     c->now = MAX(c->now, now);
     shard *s = d->shard < c->shards->len ? g_ptr_array_index(c->shards, d->shard) : NULL;
+    /* The term too: what was said under an earlier grant to the same process holds no longer. */
     if (!mv_leads(c) || !s || s->holder.incarnation != d->incarnation ||
-        strcmp(s->holder.node, d->node) != 0) {
+        s->holder.term != d->term || strcmp(s->holder.node, d->node) != 0) {
         mv_demand_free(d);
-        return;
+        return false;
     }
     take_demand(c, s, d);
+    return others_need(c, s);
+}
+
+void mv_core_others_need(mv_core *c, double now)
+{
+    c->now = MAX(c->now, now);
+    c->others_need_at = c->now;
 }
 
 /* --- the leader's books --- */
@@ -587,6 +660,149 @@
     return cores > 0 ? work / cores : G_MAXDOUBLE;
 }
 
+static bool movable(const mv_core *c, const mv_want *w, const machine *m, const shard *to)
+{
+    const mv_type *t = mv_type_of(c, m);
+    return t && m->shard && m->shard != to && !m->buried && !m->moving && m->note.offer &&
+           !m->note.give_back && m->note_at > c->now - MV_DEMAND_OLD_S / 2 &&
+           m->note.offer == mv_chunk(m->shard, m->chunk)->used_stamp &&
+           (w->types >> m->type & 1) && (!m->loaners || w->spot) &&
+           (!w->yard[0] || strcmp(w->yard, m->yard) == 0);
+}
+
+/* Takes offered machines for the tasks; how many tasks are left without. */
+static unsigned take_offers(mv_core *c, const mv_want *w, const shard *to, unsigned left,
+                            GPtrArray *moves)
+{
+    for (guint i = 0; i < c->turn->len && left; i++) {
+        machine *m = g_ptr_array_index(c->turn, i);
+        if (!movable(c, w, m, to))
+            continue;
+        const mv_type *t = mv_type_of(c, m);
+        unsigned n = slots(w, t->cores, t->cards, t->ram_gb);
+        if (n == 0)
+            continue;
+        left -= MIN(left, n);
+        m->moving = true;
+        g_ptr_array_add(moves, m);
+    }
+    return left;
+}
+
+static GArray *members_but_moving(mv_core *c, const chunk *k, uint64_t *term)
+{
+    GArray *members = part_members(c, k, term);
+    for (guint i = members->len; i-- > 0;) {
+        const mv_member *b = &g_array_index(members, mv_member, i);
+        const machine *m = g_hash_table_lookup(c->machines, b->id);
+        if (m && m->moving)
+            g_array_remove_index(members, i);
+    }
+    return members;
+}
+
+/* One transaction takes machines out of the parts of one block and puts them into a part of
+ * another, under a new term. */
+static void move_machines(mv_core *c, shard *from, shard *to, GPtrArray *moves)
+{
+    if (mv_pending(&from->block_txn, from->block_txn_at, c->now) ||
+        mv_pending(&to->block_txn, to->block_txn_at, c->now) || !from->stamp || !to->stamp)
+        return;
+    guint most = part_size(c), room_in = 0;
+    while (room_in < to->chunks->len && mv_chunk(to, room_in)->members->len + 1 > most / 2)
+        room_in++;
+    const chunk *target = room_in < to->chunks->len ? mv_chunk(to, room_in) : NULL;
+    uint64_t term = c->term + 1;
+    g_autoptr(GArray) arrived =
+        target ? part_members(c, target, &term) : g_array_new(FALSE, TRUE, sizeof(mv_member));
+    for (guint i = 0; i < c->turn->len; i++)
+        ((machine *)g_ptr_array_index(c->turn, i))->moving = false;
+    mv_action *a = mv_txn(c, true);
+    char key[MV_KEY_SIZE];
+    unsigned ops = 0, moved = 0;
+    for (guint p = 0; p < from->chunks->len && ops < MV_PARTS_AT_ONCE - 1; p++) {
+        chunk *k = mv_chunk(from, p);
+        bool any = false;
+        for (guint i = 0; i < moves->len && arrived->len < most; i++) {
+            machine *m = g_ptr_array_index(moves, i);
+            if (m->shard != from || m->chunk != p)
+                continue;
+            mv_member b = {.loaners = m->loaners,
+                           .term = c->term + 1,
+                           .at = m->rented_at + c->wall_offset};
+            g_strlcpy(b.id, m->id, sizeof b.id);
+            g_strlcpy(b.address, m->address, sizeof b.address);
+            g_strlcpy(b.hull, m->hull, sizeof b.hull);
+            g_strlcpy(b.yard, m->yard, sizeof b.yard);
+            g_array_append_val(arrived, b);
+            m->moving = any = true;
+            moved++;
+        }
+        if (!any)
+            continue;
+        g_autoptr(GArray) rest = members_but_moving(c, k, &term);
+        g_snprintf(key, sizeof key, K_BLOCK "%u/%u", from->index, p);
+        mv_txn_if(a, key, k->block_stamp);
+        mv_txn_set(a, key, mv_block_pack(rest), false);
+        g_snprintf(key, sizeof key, K_USED "%u/%u", from->index, p);
+        mv_txn_if(a, key, k->used_stamp);
+        ops++;
+    }
+    g_snprintf(key, sizeof key, K_BLOCK "%u/%u", to->index, room_in);
+    mv_txn_if(a, key, target ? target->block_stamp : 0);
+    mv_txn_set(a, key, mv_block_pack(arrived), false);
+    g_snprintf(key, sizeof key, K_SHARD "%u", from->index);
+    mv_txn_if(a, key, from->stamp);
+    mv_txn_if(a, K_LEADER, c->leader_stamp);
+    mv_txn_if(a, K_TERM, c->term_stamp);
+    mv_txn_set(a, K_TERM, mv_counter_pack(term), false);
+    from->block_txn = to->block_txn = a->id;
+    from->block_txn_at = to->block_txn_at = c->now;
+    c->counts.moved += moved;
+    mv_info("move", "from=%u to=%u machines=%u", from->index, to->index, moved);
+}
+
+/* The moves of one round: from one block at a time, the rest follows. */
+static void make_moves(mv_core *c, shard *to, GPtrArray *moves)
+{
+    if (moves->len)
+        move_machines(c, ((machine *)g_ptr_array_index(moves, 0))->shard, to, moves);
+    for (guint i = 0; i < c->turn->len; i++)
+        ((machine *)g_ptr_array_index(c->turn, i))->moving = false;
+}
+
+/* What one shard wants beyond what it has: first what others offer, then what can be rented. */
+static void size_shard(mv_core *c, shard *s, bool urgent, bool little, GArray *bins,
+                       GArray *requests)
+{
+    if (!s->demand || s->demand_got_at < c->now - MV_DEMAND_OLD_S)
+        return;
+    g_autoptr(GPtrArray) moves = g_ptr_array_new();
+    for (guint k = 0; k < s->demand->wants->len; k++) {
+        const mv_want *w = &g_array_index(s->demand->wants, mv_want, k);
+        if (w->urgent != urgent)
+            continue;
+        unsigned left = pack(w, s, bins, w->count);
+        s->unmet = s->unmet || left > 0;
+        left = take_offers(c, w, s, left, moves);
+        offer o;
+        /* What the fleet will have done before another machine is up needs none. */
+        if (!left || (little && !urgent && has_place(c, w, s, bins)) ||
+            !best_offer(c, w, left, &o))
+            continue;
+        /* One kind at a time: a refusal shows where capacity ends. */
+        const mv_type *t = &g_array_index(c->types, mv_type, o.type);
+        unsigned per = slots(w, t->cores, t->cards, t->ram_gb);
+        unsigned n = MIN((left + per - 1) / per, MV_MAX_RENT);
+        o.shard = s;
+        add_request(requests, &o, n);
+        for (unsigned x = 0; x < n; x++)
+            add_bin(bins, c, o.type, o.yard, o.spot, s, 0, 0);
+        pack(w, s, bins, left);
+    }
+    make_moves(c, s, moves);
+}
+
 static void size_fleet(mv_core *c)
 {
     if (!c->types || c->types->len == 0 || c->now < c->sized_at + MV_DEMAND_S)
@@ -595,31 +811,11 @@
     g_autoptr(GArray) bins = present_bins(c);
     bool little = backlog_time(c, bins) < MV_BACKLOG_S;
     g_autoptr(GArray) requests = g_array_new(FALSE, TRUE, sizeof(offer));
+    for (guint i = 0; i < c->shards->len; i++)
+        ((shard *)g_ptr_array_index(c->shards, i))->unmet = false;
     for (int pass = 0; pass < 2; pass++)
-        for (guint i = 0; i < c->shards->len; i++) {
-            const shard *s = g_ptr_array_index(c->shards, i);
-            if (!s->demand || s->demand_got_at < c->now - MV_DEMAND_OLD_S)
-                continue;
-            for (guint k = 0; k < s->demand->wants->len; k++) {
-                const mv_want *w = &g_array_index(s->demand->wants, mv_want, k);
-                /* What the fleet will have done before another machine is up needs none. */
-                if (w->urgent != (pass == 0) || (little && !w->urgent && has_place(c, w, s, bins)))
-                    continue;
-                unsigned left = pack(w, s, bins, w->count);
-                offer o;
-                /* One kind at a time: a refusal shows where capacity ends. */
-                if (left && best_offer(c, w, left, &o)) {
-                    const mv_type *t = &g_array_index(c->types, mv_type, o.type);
-                    unsigned per = slots(w, t->cores, t->cards, t->ram_gb);
-                    unsigned n = MIN((left + per - 1) / per, MV_MAX_RENT);
-                    o.shard = s;
-                    add_request(requests, &o, n);
-                    for (unsigned x = 0; x < n; x++)
-                        add_bin(bins, c, o.type, o.yard, o.spot, s, 0, 0);
-                    pack(w, s, bins, left);
-                }
-            }
-        }
+        for (guint i = 0; i < c->shards->len; i++)
+            size_shard(c, g_ptr_array_index(c->shards, i), pass == 0, little, bins, requests);
     for (guint i = 0; i < requests->len; i++) {
         const offer *o = &g_array_index(requests, offer, i);
         if (!asking(c, o))
--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -92,6 +92,7 @@
     /* judgement */
     double idle_since;
     bool give_back, faulty, lost;
+    uint64_t offer; /* stamp of the record of its use when it was offered to others; 0: not */
     double no_room_until, watched_at;
     double pace; /* run times here over those of the same jobs elsewhere, smoothed; 1: alike */
     mv_room promised; /* within a round, to work that room is being made for */
@@ -102,6 +103,7 @@
     mv_note note; /* what its holder last said of it */
     double note_at;
     bool buried; /* released, its name not yet out of the block */
+    bool moving; /* chosen in this round for another shard */
 };
 
 /* Images go by number within a process: names are compared once, not for each machine and task. */
@@ -158,6 +160,7 @@
     GHashTable *used;   /* names recorded as ones that may hold tasks */
     unsigned unrecorded; /* confirmed members that are not among them */
     bool dirty;         /* the leader has members to take out or to fence */
+    bool withdraw;      /* the holder wants back what it offered */
 } chunk;
 
 struct shard {
@@ -181,6 +184,7 @@
     GArray *adds; /* mv_member */
     mv_demand *demand;
     double demand_got_at;
+    bool unmet;         /* it wants machines that are neither there nor coming */
     unsigned passed_on; /* times in a row that its holder reached no machine */
 };
 
@@ -247,6 +251,7 @@
     GHashTable *tombs;   /* released machines -> when */
     uint64_t list_id, types_id, release_id;
     double list_at, release_at, sized_at;
+    double others_need_at; /* when idle machines were last wanted elsewhere; 0: never */
     GPtrArray *release_hosts;
     GHashTable *list_seen;
     unsigned hires;
--- a/src/coordination/machines.c
+++ b/src/coordination/machines.c
@@ -59,6 +59,7 @@
     m->wants_command = false;
     m->idle_since = c->now;
     m->note_at = 0;
+    m->offer = 0;
 }
 
 /* It is in no block any more: gone for certain, since only a release that was answered or an
@@ -105,7 +106,7 @@
 
 bool mv_usable(const mv_core *c, const machine *m)
 {
-    return m->shard && m->confirmed && m->used && !m->give_back && !m->faulty && !m->lost &&
+    return m->shard && m->confirmed && m->used && !m->give_back && !m->offer && !m->faulty && !m->lost &&
            !m->recall_at && !m->strangers && mv_holds(c, m->shard) &&
            c->now - m->heard_at < MV_SILENT_REPORTS * c->conf->report_s;
 }
--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -137,6 +137,8 @@
         m->rented_at = mv_from_wall(c, b->at);
         /* It entered the block under our grant: nothing of this block can be on it. */
         m->fresh = s->stamp != 0 && stamp > s->grant_stamp && c->synced;
+        if (m->heard_at > 0 || m->used)
+            m->heard_any_at = c->now; /* it is up: asked at once, it need not find us first */
     } else if (m->chunk != k->index) {
         leave_part(m);
     }
@@ -203,8 +205,10 @@
             g_strlcpy(m->address, address, sizeof m->address);
     }
     k->unrecorded = 0;
+    k->withdraw = false;
     for (guint i = 0; i < k->members->len; i++) {
         machine *m = g_ptr_array_index(k->members, i);
+        m->offer = 0; /* a move on the strength of an earlier stamp fails from now on */
         m->used = g_hash_table_contains(k->used, m->id);
         k->unrecorded += m->confirmed && !m->used;
     }
@@ -482,7 +486,7 @@
     chunk *best = NULL;
     for (guint i = 0; i < s->chunks->len; i++) {
         chunk *k = g_ptr_array_index(s->chunks, i);
-        bool chosen = k->unrecorded == 0;
+        bool chosen = k->unrecorded == 0 && !k->withdraw;
         for (unsigned x = 0; x < n && !chosen; x++)
             chosen = taken[x] == k;
         if (!chosen && (!best || k->unrecorded > best->unrecorded))
--- a/src/service/daemon.c
+++ b/src/service/daemon.c
@@ -457,12 +457,14 @@
         notes[i].up = n->up;
         notes[i].leaving = n->leaving;
         notes[i].heard = n->heard;
+        notes[i].offer = n->offer;
         note_list[i] = &notes[i];
     }
     pb.node = (char *)d->node;
     pb.incarnation = d->incarnation;
     pb.shard = d->shard;
     pb.resign = d->resign;
+    pb.term = d->term;
     pb.n_wants = nw;
     pb.wants = want_list;
     pb.n_machines = nm;
@@ -482,6 +484,7 @@
     d->incarnation = pb->incarnation;
     d->shard = pb->shard;
     d->resign = pb->resign;
+    d->term = pb->term;
     d->wants = g_array_new(FALSE, TRUE, sizeof(mv_want));
     d->notes = g_array_new(FALSE, TRUE, sizeof(mv_note));
     for (size_t i = 0; i < pb->n_wants; i++) {
@@ -508,7 +511,8 @@
                      .lost = p->lost,
                      .up = p->up,
                      .leaving = p->leaving,
-                     .heard = p->heard};
+                     .heard = p->heard,
+                     .offer = p->offer};
         g_strlcpy(n.id, p->id, sizeof n.id);
         g_array_append_val(d->notes, n);
     }
@@ -536,7 +540,7 @@
     if (ask->what_case == MV__ASK__WHAT_DEMAND) {
         mv_demand *demand = unpack_demand(ask->demand);
         mv_core *core = mv_daemon_enter(d, &now);
-        mv_core_demand(core, now, demand);
+        answer.others_need = mv_core_demand(core, now, demand);
         mv_daemon_leave(d);
     } else if (ask->what_case == MV__ASK__WHAT_HEALTH) {
         mv_core *core = mv_daemon_enter(d, &now);
@@ -568,9 +572,18 @@
         g_autoptr(GBytes) frame = pack_demand(a->demand);
         gsize n;
         const uint8_t *bytes = g_bytes_get_data(frame, &n);
-        GBytes *answer = p ? mv_peer_ask(p, bytes, n, MV_PEER_TIMEOUT_MS) : NULL;
+        g_autoptr(GBytes) got = p ? mv_peer_ask(p, bytes, n, MV_PEER_TIMEOUT_MS) : NULL;
+        gsize len = 0;
+        const uint8_t *told = got ? g_bytes_get_data(got, &len) : NULL;
+        Mv__Answer *answer = told ? mv__answer__unpack(NULL, len, told) : NULL;
+        if (answer && answer->others_need) {
+            double now;
+            mv_core *core = mv_daemon_enter(d, &now);
+            mv_core_others_need(core, now);
+            mv_daemon_leave(d);
+        }
         if (answer)
-            g_bytes_unref(answer);
+            mv__answer__free_unpacked(answer, NULL);
         mv_action_free(a);
     }
     return NULL;
--- a/src/service/routes.c
+++ b/src/service/routes.c
@@ -344,6 +344,7 @@
                 {"rented_total", n.rented},
                 {"released_total", n.released},
                 {"takeovers_total", n.takeovers},
+                {"moved_machines_total", n.moved},
                 {"jobs", n.jobs},
                 {"waiting_tasks", n.waiting},
                 {"running_tasks", n.running},
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -465,8 +465,10 @@
         node *n = &s->nodes[i];
         if (!n->up || strcmp(n->conf->node_name, c->a->to) != 0)
             continue;
-        mv_core_demand(n->core, local(s, n), c->a->demand);
+        bool need = mv_core_demand(n->core, local(s, n), c->a->demand);
         c->a->demand = NULL;
+        if (need && c->n->up && c->n->life == c->life)
+            mv_core_others_need(c->n->core, local(s, c->n));
         drain(s, n);
         break;
     }
