--- a/src/constants.h
+++ b/src/constants.h
@@ -56,7 +56,14 @@
 #define MV_FAULTY_JOBS 2           /* a machine that failed tasks of this many jobs is drained */
 #define MV_ROUND_S 0.02            /* least pause between rounds of placement */
 #define MV_ROUND_PER_TASK_S 0.0002 /* more pause for each waiting task: batches widen with load */
-#define MV_ROUND_PER_MACHINE_S 0.0001 /* and for each machine, as a round looks at all */
+#define MV_ROUND_PER_WORK_S 0.000006 /* and for each machine looked at: 0.1 us each, 1.5% of a core */
+#define MV_ROUND_LATEST_S 1.0      /* but never more than this */
+#define MV_UNPLACED_KINDS 16u      /* kinds of tasks without room that a round remembers */
+#define MV_PREEMPT_PAUSE_S 0.7     /* before room is made for the same job again, in a large fleet */
+#define MV_PREEMPT_WORK 8          /* a machine's look for victims against one for room */
+#define MV_TICK_LATE_S 0.5         /* a tick this late shows that our own processor is behind */
+#define MV_LATE_FACTOR 4.0         /* then others' silence says nothing for this many times that */
+#define MV_LATE_MAX_S 10.0         /* but at most so long */
 #define MV_ROUND_MAX_S 0.5         /* longest pause between rounds */
 #define MV_SLOW_PACE 1.5           /* times what others take for the same job: used last */
 #define MV_CRAWL_PACE 4.0          /* and from here on it is emptied and returned */
@@ -101,6 +108,7 @@
 /* --- runtime --- */
 #define MV_STACK_BYTES (96 * 1024) /* thread stacks: hundreds must fit in the memory */
 #define MV_COMMAND_THREADS 6       /* direct commands in flight */
+#define MV_COMMANDS_QUEUED 24u     /* and waiting for one of them: later ones say more */
 #define MV_TXN_THREADS 2           /* transactions in flight */
 #define MV_CLOUD_THREADS 2         /* cloud calls in flight: one may hang */
 #define MV_COMMAND_TIMEOUT_MS 1500 /* a direct command without an answer */
@@ -113,8 +121,12 @@
 #define MV_PEER_TIMEOUT_MS 600     /* a sibling without an answer */
 #define MV_FOLLOW_MS 3000          /* length of one watch: what a cut swallows shows after it */
 #define MV_FOLLOW_PAUSE_MS 80      /* least time between watches: batches changes */
+#define MV_FOLLOW_PER_JOB_MS 2     /* and more for each live job, as there is more to batch */
+#define MV_FOLLOW_MOST_MS 250      /* but at most this */
+#define MV_LISTEN_PATIENCE_S 5.0   /* without the records for this long, serve what can be served */
+#define MV_HTTP_BACKLOG 128        /* connections that wait to be accepted; others go elsewhere */
 #define MV_HTTP_CONNECTIONS 1400   /* connections served at once: their stacks fit the memory */
-#define MV_HTTP_MEMORY (16 * 1024) /* bytes MHD keeps for one connection */
+#define MV_HTTP_MEMORY (8 * 1024) /* bytes MHD keeps for one connection */
 #define MV_SUBMITS_AT_ONCE 48      /* submissions in the works; more are asked to come back */
 #define MV_SHED_RETRY_S 2          /* seconds in Retry-After of a 429 */
 #define MV_CONNECTION_IDLE_S 120   /* seconds after which MHD ends an idle connection */
--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -131,6 +131,16 @@
     return *txn_id != 0;
 }
 
+bool mv_core_has_records(const mv_core *c)
+{
+    return c->synced;
+}
+
+unsigned mv_core_jobs(const mv_core *c)
+{
+    return g_hash_table_size(c->jobs);
+}
+
 bool mv_core_ready(const mv_core *c)
 {
     return c->synced && c->types && c->types->len > 0;
@@ -171,6 +181,7 @@
     c->open = g_ptr_array_new();
     c->silent = g_ptr_array_new();
     c->promised = g_ptr_array_new();
+    c->unplaced = g_ptr_array_new();
     c->jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, mv_job_free);
     c->learnt = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     c->actions = g_queue_new();
@@ -193,6 +204,7 @@
     g_ptr_array_unref(c->open);
     g_ptr_array_unref(c->silent);
     g_ptr_array_unref(c->promised);
+    g_ptr_array_unref(c->unplaced);
     g_hash_table_unref(c->commands);
     g_hash_table_unref(c->ending);
     g_hash_table_unref(c->images);
@@ -219,9 +231,8 @@
     if (c->want_round && c->now >= c->next_round) {
         c->want_round = false;
         mv_place_round(c);
-        double pause = MV_ROUND_S + MV_ROUND_PER_TASK_S * c->counts.waiting +
-                       MV_ROUND_PER_MACHINE_S * c->turn->len;
-        c->next_round = c->now + MIN(pause, MV_ROUND_MAX_S);
+        double pause = MIN(MV_ROUND_S + MV_ROUND_PER_TASK_S * c->counts.waiting, MV_ROUND_MAX_S);
+        c->next_round = c->now + MIN(MAX(pause, MV_ROUND_PER_WORK_S * c->work), MV_ROUND_LATEST_S);
     }
     mv_flush_commands(c);
 }
@@ -235,6 +246,12 @@
 {
     enter(c, now);
     c->wall_offset = wall_now - now;
+    /* A process that gets its own time late gets every answer late: machines once were given back
+     * as silent because their answers lay unread here. */
+    double gap = c->ticked_at > 0 ? c->now - c->ticked_at : 0;
+    if (gap > MV_TICK_LATE_S)
+        c->late_until = c->now + MIN(MV_LATE_FACTOR * gap, MV_LATE_MAX_S);
+    c->ticked_at = c->now;
     if (c->synced) {
         mv_membership_tick(c);
         mv_holders_tick(c);
--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -31,7 +31,7 @@
     gpointer v;
     g_hash_table_iter_init(&it, c->jobs);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const job *j = v;
+        job *j = v;
         unsigned n = j->team && j->home == s ? rentable_count(j) : 0;
         if (!n || c->now < j->backoff_until)
             continue;
@@ -39,7 +39,7 @@
                      .cards = j->spec.cards,
                      .ram_gb = j->spec.ram_gb,
                      .run_s = mv_job_guess(c, j),
-                     .types = mv_type_mask(c, &j->spec),
+                     .types = mv_job_types(c, j),
                      .spot = j->spec.loaners,
                      .urgent = j->guaranteed || j->spec.urgency <= MV_HIGH,
                      .count = n};
@@ -348,7 +348,7 @@
         mv_member b = {
             .loaners = m->loaners, .term = m->member_term, .at = m->rented_at + c->wall_offset};
         if (fence_wanted(c, m))
-            b.term = ++*term;
+            b.term = *term = c->term + 1; /* one new term fences off many */
         g_strlcpy(b.id, m->id, sizeof b.id);
         g_strlcpy(b.address, m->address, sizeof b.address);
         g_strlcpy(b.hull, m->hull, sizeof b.hull);
@@ -712,7 +712,7 @@
     while (room_in < to->chunks->len && mv_chunk(to, room_in)->members->len + 1 > most / 2)
         room_in++;
     const chunk *target = room_in < to->chunks->len ? mv_chunk(to, room_in) : NULL;
-    uint64_t term = c->term + 1;
+    uint64_t term = c->term + 1; /* of the move, and of what is fenced off along with it */
     g_autoptr(GArray) arrived =
         target ? part_members(c, target, &term) : g_array_new(FALSE, TRUE, sizeof(mv_member));
     for (guint i = 0; i < c->turn->len; i++)
@@ -875,7 +875,7 @@
     if (n->lost)
         return "silent";
     double boot = c->conf->tune.boot_factor * (t ? t->ready_s : 60);
-    if (!n->up && c->now - m->rented_at > boot && n->silent_s > c->conf->report_s * 4)
+    if (!n->up && c->now > c->late_until && c->now - m->rented_at > boot && n->silent_s > c->conf->report_s * 4)
         return "no boot";
     return NULL;
 }
--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -226,6 +226,10 @@
     GPtrArray *open;        /* within a round: machines that may take tasks, in turn */
     GPtrArray *silent;      /* within a round: machines that may hold unknown tasks */
     GPtrArray *promised;    /* machines with promises of this round */
+    GPtrArray *unplaced;    /* within a round: jobs whose tasks found no room */
+    unsigned work;          /* machines looked at in the last round */
+    double ticked_at;       /* last tick */
+    double late_until;      /* our own processor fell behind: no judgement on others' silence */
     double large_cores;     /* of the largest task about */
     GHashTable *jobs;
     GArray *types;
@@ -318,6 +322,7 @@
 bool mv_is_slow(const machine *m);
 bool mv_allowed_on(const mv_core *c, job *j, const machine *m);
 uint32_t mv_type_mask(const mv_core *c, const mv_job *spec);
+uint32_t mv_job_types(const mv_core *c, job *j);
 /* placement.c */
 void mv_place_round(mv_core *c);
 void mv_note_placed(mv_core *c, machine *m, job *j, placement *p);
--- a/src/coordination/jobs.c
+++ b/src/coordination/jobs.c
@@ -252,15 +252,18 @@
     return mask;
 }
 
-bool mv_allowed_on(const mv_core *c, job *j, const machine *m)
+uint32_t mv_job_types(const mv_core *c, job *j)
 {
-    if (!mv_type_of(c, m))
-        return false;
     if (j->types_of != c->types) {
         j->types = mv_type_mask(c, &j->spec);
         j->types_of = c->types;
     }
-    return (j->types >> m->type & 1) && GUARD(KIND, !m->loaners || j->spec.loaners) &&
+    return j->types;
+}
+
+bool mv_allowed_on(const mv_core *c, job *j, const machine *m)
+{
+    return mv_type_of(c, m) && (mv_job_types(c, j) >> m->type & 1) && GUARD(KIND, !m->loaners || j->spec.loaners) &&
            (!j->spec.has_yard || strcmp(j->spec.yard, m->yard) == 0);
 }
 
--- a/src/coordination/machines.c
+++ b/src/coordination/machines.c
@@ -571,15 +571,18 @@
     return true;
 }
 
+/* First come, first served; what finds no routine free waits here, where its orders stay new. */
 void mv_flush_commands(mv_core *c)
 {
-    for (guint i = c->commandable->len; i-- > 0;) {
+    guint kept = 0;
+    for (guint i = 0; i < c->commandable->len; i++) {
         machine *m = g_ptr_array_index(c->commandable, i);
-        if (!flush_command(c, m))
-            continue;
-        m->queued = false;
-        g_ptr_array_remove_index_fast(c->commandable, i);
+        if (g_hash_table_size(c->commands) < MV_COMMANDS_QUEUED && flush_command(c, m))
+            m->queued = false;
+        else
+            c->commandable->pdata[kept++] = m;
     }
+    g_ptr_array_set_size(c->commandable, (gint)kept);
 }
 
 /* Launches of a command without an answer may still arrive, minutes later. */
@@ -588,7 +591,7 @@
     m->command_fails++;
     /* Only while others are heard does silence speak of the machine rather than of our own line:
      * counted during a cut, it had working machines given back as the cut ended. */
-    if (m->shard && m->shard->heard_at > m->command_at)
+    if (m->shard && m->shard->heard_at > m->command_at && c->now > c->late_until)
         m->proofs++;
     if (g_hash_table_size(m->sticky) == 0)
         m->sticky_since = c->now;
@@ -688,8 +691,9 @@
     /* After a take-over every machine is asked at once and all tasks known from before wait for
      * the last answer: one more question instead of the wait for reports. */
     bool no_trace = !m->confirmed && m->proofs > MV_PROBES_FAILED;
-    bool lost = expected && ((no_answer && quiet > MV_LOST_REPORTS * interval) || no_trace ||
-                             quiet > MV_LOST_ANYWAY_REPORTS * interval);
+    bool lost = expected && c->now > c->late_until &&
+                ((no_answer && quiet > MV_LOST_REPORTS * interval) || no_trace ||
+                 quiet > MV_LOST_ANYWAY_REPORTS * interval);
     if (lost && !m->lost)
         mv_info("machine_silent", "machine=%s quiet_s=%.1f pieces=%u", m->id, quiet,
                 m->placements->len);
--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -227,6 +227,7 @@
         g_array_append_val(out, x);
     }
     g_array_sort(out, by_worth);
+    c->work += c->open->len;
     return out;
 }
 
@@ -328,12 +329,36 @@
     }
 }
 
+/* Whether a task that asks for no more than this one found no machine in this round. Under overload
+ * most jobs learn so without a look at the fleet. */
+static bool hopeless(const mv_core *c, job *j)
+{
+    uint32_t types = mv_job_types(c, j);
+    for (guint i = 0; i < c->unplaced->len; i++) {
+        const job *x = g_ptr_array_index(c->unplaced, i);
+        if (x->home == j->home && x->spec.cores <= j->spec.cores &&
+            x->spec.cards <= j->spec.cards && x->spec.ram_gb <= j->spec.ram_gb &&
+            (types & ~x->types) == 0 && (x->spec.loaners || !j->spec.loaners))
+            return true;
+    }
+    return false;
+}
+
+static void note_unplaced(mv_core *c, job *j)
+{
+    bool anywhere = !j->spec.has_yard && !j->spec.together && !j->spec.apart;
+    if (anywhere && c->unplaced->len < MV_UNPLACED_KINDS)
+        g_ptr_array_add(c->unplaced, j);
+}
+
 /* Places tasks on the best machines. What is told to each machine does not change another's worth,
  * so one sorted list serves all tasks of the job: among machines of like worth they go in turn, one
  * each, and where the fullest comes first it stays the fullest until it has no more room. */
 static void fill_from(mv_core *c, job *j)
 {
     bool cached;
+    if (hopeless(c, j))
+        return;
     g_autoptr(GArray) list = candidates(c, j, &cached);
     guint from = 0;
     while (from < list->len && j->waiting->len) {
@@ -360,6 +385,8 @@
         }
         from = to;
     }
+    if (j->waiting->len)
+        note_unplaced(c, j);
 }
 
 /* Jobs of ours that wait, with what the order needs; `waiting` and `running` count tasks. */
@@ -397,6 +424,8 @@
     c->counts.rounds++;
     g_autoptr(GPtrArray) jobs = jobs_of_round(c);
     judge(c, jobs);
+    c->work = jobs->len;
+    g_ptr_array_set_size(c->unplaced, 0);
     if (c->counts.waiting == 0)
         return;
     note_unknown(c);
@@ -408,7 +437,7 @@
         if (!j->waiting->len || c->now < j->backoff_until || perhaps_running(c, j))
             continue;
         fill_from(c, j);
-        if (j->waiting->len)
+        if (j->waiting->len && c->now >= j->next_preempt)
             mv_preempt_for(c, j);
     }
 }
--- a/src/coordination/preemption.c
+++ b/src/coordination/preemption.c
@@ -222,6 +222,10 @@
     if (!mv_starts_soon(c, j))
         return;
     unsigned want = MIN(j->waiting->len, MV_PREEMPT_AT_ONCE);
+    /* Promises last one round, so a small fleet, where a look costs little, is asked each time. */
+    if (c->open->len > MV_WATCH_LEAST)
+        j->next_preempt = c->now + MV_PREEMPT_PAUSE_S;
+    c->work += MV_PREEMPT_WORK * c->open->len;
     if (limit_short(j))
         want -= stop_own(c, j, want);
     clear_places(c, j, want);
--- a/src/service/daemon.c
+++ b/src/service/daemon.c
@@ -220,6 +220,15 @@
     return yes;
 }
 
+/* The more jobs there are, the more changes one watch may gather. */
+static double follow_pause(mv_daemon *d)
+{
+    double now;
+    unsigned jobs = mv_core_jobs(mv_daemon_enter(d, &now));
+    mv_daemon_leave(d);
+    return MIN(MV_FOLLOW_PAUSE_MS + MV_FOLLOW_PER_JOB_MS * jobs, MV_FOLLOW_MOST_MS) / 1000.0;
+}
+
 static void *follow_routine(void *arg)
 {
     mv_daemon *d = arg;
@@ -243,7 +252,7 @@
             mv_core_followed(core, now, sent);
             mv_daemon_leave(d);
         }
-        if (!rest(d, r == MV_STATE_OK ? MV_FOLLOW_PAUSE_MS / 1000.0 : MV_SESSION_RETRY_S))
+        if (!rest(d, r == MV_STATE_OK ? follow_pause(d) : MV_SESSION_RETRY_S))
             break;
     }
     return NULL;
@@ -254,11 +263,21 @@
 static void *tick_routine(void *arg)
 {
     mv_daemon *d = arg;
+    double began = steady();
+    bool serving = false;
     do {
         double now;
         mv_core *core = mv_daemon_enter(d, &now);
         mv_core_tick(core, now, time_of_day());
+        bool ready = mv_core_has_records(core) || now > began + MV_LISTEN_PATIENCE_S;
         mv_daemon_leave(d);
+        /* Who knows nothing yet can only send away: after all had ended at once, a thousand workers
+         * going round in vain kept the processes from ever reading their records. */
+        if (ready && !serving) {
+            serving = true;
+            if (!mv_http_serve(d->http))
+                mv_error("listen", "cannot serve at port %u", d->conf->listen.port);
+        }
     } while (rest(d, MV_TICK_S));
     return NULL;
 }
@@ -710,7 +729,7 @@
     mv_core_tick(d->core, steady(), time_of_day()); /* records speak of the time of day */
     mv_http_client_init();
     d->back = mv_peer_listen(&conf->back, on_peer, d);
-    d->http = d->back ? mv_http_listen(&conf->listen, conf->max_connections, on_http, d) : NULL;
+    d->http = d->back ? mv_http_bind(&conf->listen, conf->max_connections, on_http, d) : NULL;
     if (d->http && start_threads(d))
         return d;
     const mv_endpoint *bad = d->back ? &conf->listen : &conf->back;
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -5,9 +5,14 @@
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 struct mv_http_server {
-    struct MHD_Daemon *mhd;
+    struct MHD_Daemon *mhd; /* NULL until it serves */
+    int fd;
+    uint16_t port;
+    unsigned limit;
     mv_http_handler handler;
     void *ctx;
 };
@@ -79,32 +84,49 @@
     *slot = NULL;
 }
 
-mv_http_server *mv_http_listen(const mv_endpoint *at, unsigned max_connections,
-                               mv_http_handler handler, void *ctx)
+mv_http_server *mv_http_bind(const mv_endpoint *at, unsigned max_connections,
+                             mv_http_handler handler, void *ctx)
 {
     struct sockaddr_in addr = {.sin_family = AF_INET, .sin_port = htons(at->port)};
+    int one = 1;
     if (inet_pton(AF_INET, at->host, &addr.sin_addr) != 1)
         return NULL;
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    if (fd < 0)
+        return NULL;
+    (void)setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+    if (bind(fd, (struct sockaddr *)&addr, sizeof addr) < 0) {
+        close(fd);
+        return NULL;
+    }
     mv_http_server *s = g_new0(mv_http_server, 1);
+    s->fd = fd;
+    s->port = at->port;
     s->handler = handler;
     s->ctx = ctx;
     /* Sockets are left over for our own calls. */
-    unsigned limit = MIN(max_connections / 2, MV_HTTP_CONNECTIONS);
+    s->limit = MIN(max_connections / 2, MV_HTTP_CONNECTIONS);
+    return s;
+}
+
+bool mv_http_serve(mv_http_server *s)
+{
+    if (listen(s->fd, MV_HTTP_BACKLOG) < 0)
+        return false;
     s->mhd = MHD_start_daemon(
-        MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL, at->port,
-        NULL, NULL, on_request, s, MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&addr,
-        MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL, MHD_OPTION_CONNECTION_LIMIT, limit,
-        MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)MV_CONNECTION_IDLE_S,
-        MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)MV_HTTP_MEMORY, MHD_OPTION_THREAD_STACK_SIZE,
-        (size_t)MV_STACK_BYTES, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
-    if (s->mhd)
-        return s;
-    g_free(s);
-    return NULL;
+        MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL, s->port,
+        NULL, NULL, on_request, s, MHD_OPTION_LISTEN_SOCKET, s->fd, MHD_OPTION_NOTIFY_COMPLETED,
+        on_completed, NULL, MHD_OPTION_CONNECTION_LIMIT, s->limit, MHD_OPTION_CONNECTION_TIMEOUT,
+        (unsigned)MV_CONNECTION_IDLE_S, MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)MV_HTTP_MEMORY,
+        MHD_OPTION_THREAD_STACK_SIZE, (size_t)MV_STACK_BYTES, MHD_OPTION_END);
+    return s->mhd != NULL;
 }
 
 void mv_http_close(mv_http_server *s)
 {
-    MHD_stop_daemon(s->mhd);
+    if (s->mhd)
+        MHD_stop_daemon(s->mhd); /* closes the socket too */
+    else
+        close(s->fd);
     g_free(s);
 }
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -18,7 +18,9 @@
 typedef void (*mv_http_handler)(void *ctx, const char *method, const char *path,
                                 const uint8_t *body, size_t size, mv_http_reply *reply);
 
-mv_http_server *mv_http_listen(const mv_endpoint *at, unsigned max_connections,
-                               mv_http_handler handler, void *ctx);
+/* Takes the address; NULL when it cannot be had. Connections are refused until mv_http_serve. */
+mv_http_server *mv_http_bind(const mv_endpoint *at, unsigned max_connections,
+                             mv_http_handler handler, void *ctx);
+bool mv_http_serve(mv_http_server *s);
 void mv_http_close(mv_http_server *s);
 #endif
