--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -131,9 +131,14 @@
     return *txn_id != 0;
 }
 
-bool mv_core_has_records(const mv_core *c)
+bool mv_core_settled(const mv_core *c)
 {
-    return c->synced;
+    for (guint i = 0; i < c->shards->len; i++) {
+        const shard *s = g_ptr_array_index(c->shards, i);
+        if (!s->stamp || !mv_live(c, &s->holder))
+            return false;
+    }
+    return c->synced && c->shards->len > 0;
 }
 
 unsigned mv_core_jobs(const mv_core *c)
--- a/src/coordination/core.h
+++ b/src/coordination/core.h
@@ -141,7 +141,8 @@
 bool mv_core_in_contact(const mv_core *core, double now);
 bool mv_core_in_session(const mv_core *core);
 bool mv_core_ready(const mv_core *core);
-bool mv_core_has_records(const mv_core *core);
+/* The records are known, and every shard has a holder that lives. */
+bool mv_core_settled(const mv_core *core);
 unsigned mv_core_jobs(const mv_core *core); /* live ones */
 bool mv_core_leads(const mv_core *core);
 /* The picture for people: MessagePack map. */
--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -282,6 +282,7 @@
 bool mv_pending(uint64_t *txn_id, double at, double now);
 /* membership.c */
 void mv_membership_tick(mv_core *c);
+bool mv_live(const mv_core *c, const mv_holder *h);
 void mv_record_node(mv_core *c, const char *name, const msgpack_object *o, uint64_t stamp);
 void mv_record_shard(mv_core *c, unsigned index, const msgpack_object *o, uint64_t stamp);
 void mv_record_block(mv_core *c, unsigned index, unsigned part, const msgpack_object *o,
--- a/src/coordination/machines.c
+++ b/src/coordination/machines.c
@@ -502,7 +502,9 @@
     if (!m->address[0])
         g_strlcpy(m->address, r->address, sizeof m->address);
     if (!mv_holds(c, m->shard) || r->baton > mv_token(m)) {
-        bool other = strcmp(m->shard->holder.node, c->conf->node_name) != 0;
+        /* A holder that is gone would only cost the worker another refusal. */
+        bool other = strcmp(m->shard->holder.node, c->conf->node_name) != 0 &&
+                     mv_live(c, &m->shard->holder);
         steer(other ? m->shard->holder.node : NULL, a);
         return;
     }
--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -253,7 +253,7 @@
 
 /* --- grants, by the leader --- */
 
-static bool live(const mv_core *c, const mv_holder *h)
+bool mv_live(const mv_core *c, const mv_holder *h)
 {
     const node_entry *n = g_hash_table_lookup(c->nodes, h->node);
     return n && n->incarnation == h->incarnation;
@@ -264,7 +264,7 @@
     unsigned n = 0;
     for (guint i = 0; i < c->shards->len; i++) {
         const shard *s = g_ptr_array_index(c->shards, i);
-        if (s->stamp && strcmp(s->holder.node, node) == 0 && live(c, &s->holder))
+        if (s->stamp && strcmp(s->holder.node, node) == 0 && mv_live(c, &s->holder))
             n++;
     }
     return n;
@@ -401,7 +401,7 @@
         shard *s = mv_shard_get(c, i);
         holders[i] = s->holder;
         holders[i].teams = copy_teams(s->holder.teams);
-        bool dead = !s->stamp || !live(c, &s->holder);
+        bool dead = !s->stamp || !mv_live(c, &s->holder);
         const node_entry *to = dead              ? least_loaded(c, extra, NULL)
                                : resigned(c, s)  ? least_loaded(c, extra, s->holder.node)
                                : (int)i == moved ? moved_to
--- a/src/service/daemon.c
+++ b/src/service/daemon.c
@@ -269,10 +269,10 @@
         double now;
         mv_core *core = mv_daemon_enter(d, &now);
         mv_core_tick(core, now, time_of_day());
-        bool ready = mv_core_has_records(core) || now > began + MV_LISTEN_PATIENCE_S;
+        bool ready = mv_core_settled(core) || now > began + MV_LISTEN_PATIENCE_S;
         mv_daemon_leave(d);
-        /* Who knows nothing yet can only send away: after all had ended at once, a thousand workers
-         * going round in vain kept the processes from ever reading their records. */
+        /* Before every machine has a holder, workers can only be sent away: after all controllers
+         * had ended at once, a thousand of them going round in vain kept any from taking over. */
         if (ready && !serving) {
             serving = true;
             if (!mv_http_serve(d->http))
--- /dev/null
+++ b/tests/test_size.c
@@ -0,0 +1,302 @@
+/* The core at full size, without threads, sockets or clock: one controller takes over a fleet of
+ * 1,500 machines with thousands of tasks. Work is bounded by counting, not by time. */
+#include "coordination/internal.h"
+
+#include "protocol/names.h"
+
+#include <stdio.h>
+#include <string.h>
+
+mv_guard mv_broken_guard = MV_GUARD_NONE;
+
+#define MACHINES 1500
+#define JOBS 120
+#define PIECES 60
+
+typedef struct {
+    mv_settings *conf;
+    mv_core *core;
+    double now;
+    uint64_t stamp;
+    uint64_t ticks[MACHINES];
+    uint64_t baton[MACHINES];
+    GArray *tasks[MACHINES]; /* mv_piece */
+    GHashTable *on;          /* "job/piece" of running tasks */
+    unsigned launches, commands;
+} world;
+
+static void record(world *w, const char *key, GBytes *data)
+{
+    mv_core_record(w->core, w->now, key, data, ++w->stamp);
+    if (data)
+        g_bytes_unref(data);
+}
+
+static mv_settings *settings(void)
+{
+    mv_settings *c = g_new0(mv_settings, 1);
+    g_strlcpy(c->node_name, "n0", sizeof c->node_name);
+    c->count = 3;
+    c->n_teams = 1;
+    c->teams = g_new0(mv_team, 1);
+    g_strlcpy(c->teams[0].name, "a", MV_NAME_SIZE);
+    c->report_s = 5;
+    c->lease_s = 27;
+    c->cancel_s = 47;
+    c->state_rps = 120;
+    c->state_write_rps = 25;
+    c->value_kb = 8;
+    c->txn_ops = 12;
+    c->cloud_rps = 5;
+    c->list_lag_s = 8;
+    c->tune = (mv_tunables){.image_wait_s = MV_IMAGE_WAIT_S,
+                            .block_lease_s = MV_BLOCK_LEASE_S,
+                            .idle_return_s = MV_IDLE_RETURN_S,
+                            .boot_factor = MV_BOOT_FACTOR,
+                            .shards = 1};
+    return c;
+}
+
+static void clear_type(gpointer p)
+{
+    g_free(((mv_type *)p)->yards);
+}
+
+static GArray *types(void)
+{
+    static const struct {
+        const char *name;
+        double cores, ram;
+    } kinds[] = {{"big", 64, 256}, {"small", 32, 64}};
+    GArray *out = g_array_new(FALSE, TRUE, sizeof(mv_type));
+    g_array_set_clear_func(out, clear_type);
+    for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++) {
+        mv_type t = {.cores = kinds[i].cores,
+                     .ram_gb = kinds[i].ram,
+                     .local_gb = 60,
+                     .pull_rate = 0.8,
+                     .rate = 1,
+                     .market = 0.3,
+                     .ready_s = 30,
+                     .n_yards = 1};
+        g_strlcpy(t.name, kinds[i].name, sizeof t.name);
+        t.yards = g_malloc0(MV_NAME_SIZE);
+        g_strlcpy(t.yards[0], "z", MV_NAME_SIZE);
+        g_array_append_val(out, t);
+    }
+    return out;
+}
+
+static void machine_id(unsigned i, char *out, size_t size)
+{
+    g_snprintf(out, size, "vm-%06u", i);
+}
+
+static void blocks(world *w)
+{
+    for (unsigned part = 0; part * 40 < MACHINES; part++) {
+        g_autoptr(GArray) members = g_array_new(FALSE, TRUE, sizeof(mv_member));
+        mv_out *used = mv_out_new();
+        unsigned n = MIN(40, MACHINES - part * 40);
+        mv_put_map(used, 1);
+        mv_put_text(used, R_MACHINES);
+        mv_put_list(used, 2 * n);
+        for (unsigned k = 0; k < n; k++) {
+            mv_member m = {.loaners = true, .at = 1e6};
+            machine_id(part * 40 + k, m.id, sizeof m.id);
+            g_snprintf(m.address, sizeof m.address, "10.1.0.1:%u", 1000 + part * 40 + k);
+            g_strlcpy(m.hull, k % 4 ? "small" : "big", sizeof m.hull);
+            g_strlcpy(m.yard, "z", sizeof m.yard);
+            g_array_append_val(members, m);
+            mv_put_text(used, m.id);
+            mv_put_text(used, m.address);
+        }
+        char key[MV_KEY_SIZE];
+        g_snprintf(key, sizeof key, K_BLOCK "0/%u", part);
+        record(w, key, mv_block_pack(members));
+        g_snprintf(key, sizeof key, K_USED "0/%u", part);
+        record(w, key, mv_out_take(used));
+    }
+}
+
+static void add_job(world *w, unsigned i, double cores)
+{
+    mv_job j = {.urgency = cores > 8 ? MV_STANDARD : MV_HIGH,
+                .pieces = PIECES,
+                .cores = cores,
+                .ram_gb = cores,
+                .pull_gb = 2,
+                .loaners = true,
+                .guess_s = 30,
+                .due_s = -1};
+    char key[MV_KEY_SIZE];
+    g_snprintf(j.id, sizeof j.id, "j-%06u", i);
+    g_strlcpy(j.lane, cores > 8 ? "refresh" : "rush", sizeof j.lane);
+    g_strlcpy(j.crew, "a", sizeof j.crew);
+    g_snprintf(j.bundle, sizeof j.bundle, "img-%u", i % 7);
+    g_snprintf(key, sizeof key, K_JOB "%s", j.id);
+    record(w, key, mv_accepted_pack(&j, 0, 1e6));
+}
+
+static void grant(world *w, uint64_t term)
+{
+    mv_holder h = {.incarnation = 7, .term = term};
+    g_strlcpy(h.node, "n0", sizeof h.node);
+    record(w, K_NODE "n0", mv_holder_pack(&h));
+    h.teams = g_ptr_array_new();
+    g_ptr_array_add(h.teams, "a");
+    record(w, K_SHARD "0", mv_holder_pack(&h));
+    g_ptr_array_unref(h.teams);
+}
+
+static void start(world *w)
+{
+    w->conf = settings();
+    w->core = mv_core_new(w->conf);
+    w->now += 1;
+    mv_core_tick(w->core, w->now, 1e6 + w->now);
+    mv_core_session(w->core, w->now, 7, w->now);
+    mv_core_types(w->core, w->now, types());
+}
+
+static void find(world *w, unsigned i, const char *job, uint32_t piece, int *at)
+{
+    *at = -1;
+    for (guint k = 0; k < w->tasks[i]->len; k++) {
+        const mv_piece *p = &g_array_index(w->tasks[i], mv_piece, k);
+        if (p->piece == piece && strcmp(p->job, job) == 0)
+            *at = (int)k;
+    }
+}
+
+static void obey(world *w, unsigned i, const GArray *orders)
+{
+    for (guint k = 0; orders && k < orders->len; k++) {
+        const mv_order *o = &g_array_index(orders, mv_order, k);
+        int at;
+        find(w, i, o->job, o->piece, &at);
+        char *name = g_strdup_printf("%s/%u", o->job, o->piece);
+        if (o->verb == MV_LAUNCH && at < 0) {
+            mv_piece p = {.piece = o->piece, .attempt = o->attempt, .status = MV_RUNNING};
+            g_strlcpy(p.job, o->job, sizeof p.job);
+            g_array_append_val(w->tasks[i], p);
+            w->launches++;
+            if (g_hash_table_contains(w->on, name))
+                g_error("ran_twice %s", name);
+            g_hash_table_add(w->on, g_strdup(name));
+        } else if (o->verb == MV_STOP && at >= 0) {
+            g_array_index(w->tasks[i], mv_piece, at).status = MV_ENDED;
+            g_array_index(w->tasks[i], mv_piece, at).cause = MV_WHY_STOPPED;
+            g_hash_table_remove(w->on, name);
+        } else if (o->verb == MV_CLEAR && at >= 0) {
+            g_array_remove_index(w->tasks[i], (guint)at);
+        }
+        g_free(name);
+    }
+}
+
+static void make_report(world *w, unsigned i, mv_report *r)
+{
+    memset(r, 0, sizeof *r);
+    machine_id(i, r->host, sizeof r->host);
+    g_snprintf(r->address, sizeof r->address, "10.1.0.1:%u", 1000 + i);
+    g_strlcpy(r->hull, i % 40 % 4 ? "small" : "big", sizeof r->hull);
+    g_strlcpy(r->yard, "z", sizeof r->yard);
+    r->loaners = true;
+    r->tenure = 1;
+    r->tick = ++w->ticks[i];
+    r->baton = w->baton[i];
+    r->recall_s = -1;
+    r->n_pieces = w->tasks[i]->len;
+    r->pieces = g_memdup2(w->tasks[i]->data, (r->n_pieces + 1) * sizeof(mv_piece));
+}
+
+static void drain(world *w)
+{
+    mv_action *a;
+    while ((a = mv_core_next(w->core))) {
+        if (a->kind == MV_ACT_COMMAND) {
+            unsigned i = (unsigned)g_ascii_strtoull(a->machine + 3, NULL, 10);
+            mv_report r;
+            w->baton[i] = MAX(w->baton[i], a->baton);
+            obey(w, i, a->orders);
+            make_report(w, i, &r);
+            w->commands++;
+            mv_core_command_done(w->core, w->now, a->id, 200, &r);
+            mv_report_clear(&r);
+        } else if (a->kind == MV_ACT_TXN) {
+            mv_core_txn_done(w->core, w->now, a->id, MV_TXN_OK);
+        }
+        mv_action_free(a);
+    }
+}
+
+static void pass(world *w, double seconds)
+{
+    static guint next;
+    for (double t = 0; t < seconds; t += 0.1) {
+        w->now += 0.1;
+        mv_core_session(w->core, w->now, 7, w->now);
+        mv_core_followed(w->core, w->now, w->now);
+        mv_core_tick(w->core, w->now, 1e6 + w->now);
+        drain(w);
+        for (unsigned k = 0; k < MACHINES / 50; k++) { /* each reports every 5 s */
+            unsigned i = next++ % MACHINES;
+            mv_report r;
+            mv_report_answer a;
+            make_report(w, i, &r);
+            mv_core_report(w->core, w->now, &r, &a);
+            if (a.status == 200 && a.baton >= w->baton[i]) {
+                w->baton[i] = a.baton;
+                obey(w, i, a.orders);
+            }
+            if (a.orders)
+                g_array_unref(a.orders);
+            mv_report_clear(&r);
+            drain(w);
+        }
+    }
+}
+
+static void take_over(void)
+{
+    world w = {.on = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL)};
+    for (unsigned i = 0; i < MACHINES; i++)
+        w.tasks[i] = g_array_new(FALSE, TRUE, sizeof(mv_piece));
+    start(&w);
+    grant(&w, 5);
+    blocks(&w);
+    for (unsigned i = 0; i < JOBS; i++)
+        add_job(&w, i, i % 3 ? 2 : 16);
+    mv_core_synced(w.core, w.now);
+    pass(&w, 20);
+    g_assert_cmpuint(w.launches, ==, JOBS * PIECES);
+    /* The holder ends; another process of that name takes over under a new term. */
+    mv_core_free(w.core);
+    mv_settings_free(w.conf);
+    start(&w);
+    grant(&w, 6);
+    blocks(&w);
+    for (unsigned i = 0; i < JOBS; i++)
+        add_job(&w, i, i % 3 ? 2 : 16);
+    mv_core_synced(w.core, w.now);
+    unsigned before = w.commands;
+    pass(&w, 12);
+    g_assert_cmpuint(w.launches, ==, JOBS * PIECES); /* nothing is started twice */
+    mv_core_counts n;
+    mv_core_counts_get(w.core, &n);
+    g_assert_cmpuint(n.running, ==, JOBS * PIECES);
+    g_assert_cmpuint(w.commands - before, <, 2 * MACHINES);
+    mv_core_free(w.core);
+    mv_settings_free(w.conf);
+    for (unsigned i = 0; i < MACHINES; i++)
+        g_array_unref(w.tasks[i]);
+    g_hash_table_unref(w.on);
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/size/take-over", take_over);
+    return g_test_run();
+}
