--- a/src/constants.h
+++ b/src/constants.h
@@ -72,6 +72,7 @@
 #define MV_PACE_FADE 0.025         /* per second: half forgotten in about 30 s */
 #define MV_TICK_S 0.1              /* how often time is told to the core */
 #define MV_WATCH_TICKS 4           /* ticks in which every machine is looked at once */
+#define MV_ASK_AFTER_S 1.2         /* a machine of a large fleet has this long to come by itself */
 #define MV_WATCH_LEAST 64u         /* machines looked at in one tick at least */
 #define MV_SILENT_REPORTS 2.0 /* report intervals without a word before nothing more is placed */
 #define MV_PROBE_REPORTS 1.5  /* and before the machine is asked directly */
--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -57,7 +57,7 @@
         mv_note n = {.idle_s = m->placements->len || !m->confirmed ? 0 : c->now - m->idle_since,
                      /* A new holder has heard nobody yet: that is its own newness, not theirs.
                       * Without this every take-over gave back the whole fleet as never booted. */
-                     .silent_s = c->now - MAX(m->heard_at, s->taken_at),
+                     .silent_s = c->now - MAX(MAX(m->heard_at, s->taken_at), m->entered_at),
                      .fence = g_hash_table_size(m->sticky) > 0 &&
                               c->now > m->sticky_since + MV_FENCE_AFTER_S,
                      .give_back = m->give_back || (m->faulty && !m->placements->len),
@@ -890,7 +890,8 @@
         const char *why = m->shard && !m->buried ? reason_to_release(c, m) : NULL;
         if (!why || hosts->len >= MV_MAX_RELEASE)
             continue;
-        mv_info("release", "machine=%s why=%s", m->id, why);
+        mv_info("release", "machine=%s why=%s shard=%u silent_s=%.1f up=%d age_s=%.0f", m->id, why,
+                m->shard->index, m->note.silent_s, m->note.up, c->now - m->rented_at);
         g_ptr_array_add(hosts, g_strdup(m->id));
     }
     if (hosts->len == 0)
--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -62,6 +62,7 @@
     char id[MV_NAME_SIZE], address[64], hull[MV_NAME_SIZE], yard[MV_NAME_SIZE];
     bool loaners;
     double rented_at; /* steady */
+    double entered_at; /* its block, as far as we saw */
     uint64_t member_term;
     shard *shard;   /* NULL once it is in no block */
     unsigned chunk; /* which record of the block names it */
@@ -94,6 +95,7 @@
     bool give_back, faulty, lost;
     uint64_t offer; /* stamp of the record of its use when it was offered to others; 0: not */
     double no_room_until, watched_at;
+    double answered_at; /* a report under an older token got ours in answer */
     double pace; /* run times here over those of the same jobs elsewhere, smoothed; 1: alike */
     mv_room promised; /* within a round, to work that room is being made for */
     GHashTable *failed_jobs; /* id -> whether the job did well elsewhere */
--- a/src/coordination/machines.c
+++ b/src/coordination/machines.c
@@ -432,7 +432,11 @@
     g_strlcpy(m->address, r->address, sizeof m->address);
     m->recall_at = r->recall_s >= 0 ? c->now + r->recall_s : 0;
     if (r->baton < mv_token(m)) {
-        mv_want_command(c, m); /* shows the worker our token, and us its tasks */
+        /* The answer shows the worker our token, and its next report, which follows at once, shows us
+         * its tasks. A fleet that all comes at once need not be asked besides. */
+        if (m->shard->n_machines <= MV_WATCH_LEAST)
+            mv_want_command(c, m);
+        m->answered_at = c->now;
         return;
     }
     if (!was) /* nothing sent under an older token can arrive any more */
@@ -679,9 +683,13 @@
     leave_crawling(c, m);
     judge_failures(c, m);
     double interval = c->conf->report_s;
-    double quiet = c->now - MAX(MAX(m->heard_at, m->shard->taken_at), m->rented_at);
-    /* After a take-over ask at once rather than wait for the worker to find us. */
-    if (!m->confirmed && m->address[0] && (m->heard_any_at || mv_may_hold_tasks(m)))
+    double since = MAX(MAX(m->shard->taken_at, m->entered_at), m->rented_at);
+    double quiet = c->now - MAX(m->heard_at, since);
+    /* After a take-over ask rather than wait for the worker to find us; a large fleet only those
+     * that did not come by themselves, for asking a thousand costs more than they do. */
+    bool patient = m->shard->n_machines > MV_WATCH_LEAST &&
+                   c->now < MAX(m->shard->taken_at, m->answered_at) + MV_ASK_AFTER_S;
+    if (!m->confirmed && !patient && m->address[0] && (m->heard_any_at || mv_may_hold_tasks(m)))
         mv_want_command(c, m);
     bool expected = m->heard_at > 0 || mv_may_hold_tasks(m);
     /* A report may be lost and its repetition go to a sibling first: ask before judging. */
--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -135,6 +135,9 @@
         mv_reset_machine(c, m);
         leave_part(m);
         m->rented_at = mv_from_wall(c, b->at);
+        /* Silence counts from here: machines that had been moved were returned at once as never
+         * booted, for their new holder had not heard them since its own grant. */
+        m->entered_at = c->now;
         /* It entered the block under our grant: nothing of this block can be on it. */
         m->fresh = s->stamp != 0 && stamp > s->grant_stamp && c->synced;
         if (m->heard_at > 0 || m->used)
--- a/tests/test_size.c
+++ b/tests/test_size.c
@@ -275,10 +275,10 @@
     mv_core_free(w.core);
     mv_settings_free(w.conf);
     start(&w);
-    grant(&w, 6);
-    blocks(&w);
+    blocks(&w); /* older than the grant, as in a list of the records */
     for (unsigned i = 0; i < JOBS; i++)
         add_job(&w, i, i % 3 ? 2 : 16);
+    grant(&w, 6);
     mv_core_synced(w.core, w.now);
     unsigned before = w.commands;
     pass(&w, 12);
