--- a/src/constants.h
+++ b/src/constants.h
@@ -80,6 +80,8 @@
 #define MV_LOST_ANYWAY_REPORTS 12.0 /* given up after this even if nobody at all is heard */
 #define MV_PROBES_FAILED 2          /* direct commands without an answer that make it lost */
 #define MV_HEARD_REPORTS 2.5        /* none heard of within this: it is rather we who are cut off */
+#define MV_CLEAR_BATCH 8u           /* ended tasks of a machine that are cleared together */
+#define MV_CLEAR_AFTER_S 8.0        /* or as long after the last time; each time costs a report */
 #define MV_REFUSED_START_S 2.0      /* no new launch after a worker refused one: our view is old */
 #define MV_RECALL_SPARE_S 6.0 /* saved tasks are stopped this long before their machine goes */
 #define MV_FLUSH_S 0.7        /* progress records are written at most this often */
@@ -109,7 +111,9 @@
 /* --- runtime --- */
 #define MV_STACK_BYTES (96 * 1024) /* thread stacks: hundreds must fit in the memory */
 #define MV_COMMAND_THREADS 6       /* direct commands in flight */
+#define MV_LANE_SLOW_S 0.1         /* a lane busy for longer is helped out by others */
 #define MV_COMMANDS_QUEUED 24u     /* and waiting for one of them: later ones say more */
+#define MV_STATE_CALLERS 6         /* requests of users and transactions at the state service */
 #define MV_TXN_THREADS 2           /* transactions in flight */
 #define MV_CLOUD_THREADS 2         /* cloud calls in flight: one may hang */
 #define MV_COMMAND_TIMEOUT_MS 1500 /* a direct command without an answer */
@@ -134,7 +138,7 @@
 #define MV_ABORT_TRIES 4           /* a cancellation against a record that keeps changing */
 #define MV_RETRY_AFTER_S 1         /* seconds in Retry-After of a 503 */
 #define MV_MAX_ANSWER (8 * 1024 * 1024) /* bytes of an answer we read; watches have no limit */
-#define MV_CLIENT_CONNECTIONS 32        /* connections a thread keeps open */
+#define MV_CLIENT_CONNECTIONS 200       /* connections a thread keeps open: its lane's machines */
 #define MV_CONNECT_TIMEOUT_MS 1000      /* nothing is further away than this */
 #define MV_MAX_FRAME (256 * 1024)       /* bytes of a message between controllers */
 #define MV_PEER_CONNECTIONS 64          /* connections from siblings, old ones included */
--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -95,6 +95,8 @@
     bool give_back, faulty, lost;
     uint64_t offer; /* stamp of the record of its use when it was offered to others; 0: not */
     double no_room_until, watched_at;
+    double cleared_at;  /* when ended tasks were last cleared */
+    bool clearing;      /* those of the report at hand are */
     double answered_at; /* a report under an older token got ours in answer */
     double pace; /* run times here over those of the same jobs elsewhere, smoothed; 1: alike */
     mv_room promised; /* within a round, to work that room is being made for */
--- a/src/coordination/machines.c
+++ b/src/coordination/machines.c
@@ -231,8 +231,21 @@
     g_array_append_val(orders, o);
 }
 
+/* A worker reports again after every change of its tasks, a clear among them: in a large fleet
+ * several are cleared at once. */
+static bool clears_now(const mv_core *c, const machine *m, const mv_report *r)
+{
+    unsigned ended = 0;
+    for (size_t i = 0; i < r->n_pieces; i++)
+        ended += r->pieces[i].status == MV_ENDED;
+    return m->shard->n_machines <= MV_WATCH_LEAST || ended >= MV_CLEAR_BATCH ||
+           c->now > m->cleared_at + MV_CLEAR_AFTER_S;
+}
+
 static void add_clear(const machine *m, GArray *orders, const mv_piece *piece)
 {
+    if (!m->clearing)
+        return;
     /* After a clear the worker would start a launch that still arrives late. */
     g_autofree char *key = attempt_key(piece->job, piece->piece, piece->attempt);
     if (!g_hash_table_contains(m->sticky, key))
@@ -445,6 +458,8 @@
         mv_chunk(m->shard, m->chunk)->unrecorded++;
     m->confirmed = true;
     m->strangers = 0;
+    m->clearing = clears_now(c, m, r);
+    guint before = orders->len;
     for (size_t i = 0; i < r->n_pieces; i++) {
         const mv_piece *piece = &r->pieces[i];
         job *j = g_hash_table_lookup(c->jobs, piece->job);
@@ -455,6 +470,8 @@
         else
             piece_active(c, m, j, piece, orders);
     }
+    if (m->clearing && orders->len > before)
+        m->cleared_at = c->now;
     absent_placements(c, m, r, orders);
     if (!was) {
         /* Idle from now on: with its boot counted as idleness, a machine that took its time was
--- a/src/service/daemon.c
+++ b/src/service/daemon.c
@@ -20,6 +20,13 @@
     pthread_cond_t filled;
 } work;
 
+/* Commands to the same machine go by the same routine, which keeps a connection to it: a new one
+ * costs five times the request itself. A lane that one machine holds up is helped out by others. */
+typedef struct {
+    work queue;
+    double busy_since; /* 0: idle */
+} lane;
+
 struct mv_daemon {
     const mv_settings *conf;
     mv_core *core;
@@ -28,7 +35,9 @@
     pthread_cond_t stop_cond;
     bool stopping;
     GPtrArray *threads; /* of pthread_t * */
-    work txns, commands, cloud, demands;
+    work txns, cloud, demands;
+    lane lanes[MV_COMMAND_THREADS];
+    unsigned next_lane; /* for the routines, as they start */
     mv_http_server *http;
     mv_peer_server *back;
     mv_peer **peers; /* like conf->siblings */
@@ -72,6 +81,41 @@
     pthread_cond_signal(&w->filled);
 }
 
+static void put_command(mv_daemon *d, mv_action *a)
+{
+    lane *own = &d->lanes[g_str_hash(a->machine) % MV_COMMAND_THREADS];
+    put(&own->queue, a);
+    if (own->busy_since == 0 || steady() < own->busy_since + MV_LANE_SLOW_S)
+        return;
+    for (int i = 0; i < MV_COMMAND_THREADS; i++)
+        if (d->lanes[i].busy_since == 0) {
+            pthread_cond_signal(&d->lanes[i].queue.filled);
+            return;
+        }
+}
+
+/* From its own lane, else from one that is held up. */
+static mv_action *take_command(mv_daemon *d, lane *own)
+{
+    mv_action *a = NULL;
+    pthread_mutex_lock(&d->lock);
+    own->busy_since = 0;
+    while (!d->stopping) {
+        a = g_queue_pop_head(&own->queue.actions);
+        for (int i = 0; i < MV_COMMAND_THREADS && !a; i++) {
+            lane *other = &d->lanes[i];
+            if (other->busy_since > 0 && steady() > other->busy_since + MV_LANE_SLOW_S)
+                a = g_queue_pop_head(&other->queue.actions);
+        }
+        if (a)
+            break;
+        pthread_cond_wait(&own->queue.filled, &d->lock);
+    }
+    own->busy_since = a ? steady() : 0;
+    pthread_mutex_unlock(&d->lock);
+    return a;
+}
+
 void mv_daemon_leave(mv_daemon *d)
 {
     mv_action *a;
@@ -81,7 +125,7 @@
             put(&d->txns, a);
             break;
         case MV_ACT_COMMAND:
-            put(&d->commands, a);
+            put_command(d, a);
             break;
         case MV_ACT_DEMAND:
             put(&d->demands, a);
@@ -310,7 +354,10 @@
 {
     mv_daemon *d = arg;
     mv_action *a;
-    while ((a = take(d, &d->commands))) {
+    pthread_mutex_lock(&d->lock);
+    lane *own = &d->lanes[d->next_lane++];
+    pthread_mutex_unlock(&d->lock);
+    while ((a = take_command(d, own))) {
         double began = steady(), now;
         g_autoptr(GBytes) body = mv_orders_pack(a->baton, a->tenure, a->orders);
         mv_http_answer answer;
@@ -692,6 +739,14 @@
     mv_action_free(p);
 }
 
+#define N_QUEUES (3 + MV_COMMAND_THREADS)
+
+static work *queue_at(mv_daemon *d, size_t i)
+{
+    work *few[] = {&d->txns, &d->cloud, &d->demands};
+    return i < G_N_ELEMENTS(few) ? few[i] : &d->lanes[i - G_N_ELEMENTS(few)].queue;
+}
+
 static bool start_threads(mv_daemon *d)
 {
     bool ok = start_thread(d, session_routine) && start_thread(d, follow_routine) &&
@@ -718,9 +773,8 @@
     pthread_cond_init(&d->stop_cond, &steady_clock);
     pthread_condattr_destroy(&steady_clock);
     d->threads = g_ptr_array_new_with_free_func(g_free);
-    work *queues[] = {&d->txns, &d->commands, &d->cloud, &d->demands};
-    for (size_t i = 0; i < G_N_ELEMENTS(queues); i++)
-        pthread_cond_init(&queues[i]->filled, NULL);
+    for (size_t i = 0; i < N_QUEUES; i++)
+        pthread_cond_init(&queue_at(d, i)->filled, NULL);
     d->known = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     g_snprintf(d->cloud_at, sizeof d->cloud_at, "%s:%u", conf->cloud.host, conf->cloud.port);
     d->peers = g_new0(mv_peer *, conf->n_siblings + 1);
@@ -741,21 +795,20 @@
 
 void mv_daemon_stop(mv_daemon *d)
 {
-    work *queues[] = {&d->txns, &d->commands, &d->cloud, &d->demands};
     pthread_mutex_lock(&d->lock);
     d->stopping = true;
     pthread_cond_broadcast(&d->stop_cond);
-    for (size_t i = 0; i < G_N_ELEMENTS(queues); i++)
-        pthread_cond_broadcast(&queues[i]->filled);
+    for (size_t i = 0; i < N_QUEUES; i++)
+        pthread_cond_broadcast(&queue_at(d, i)->filled);
     pthread_mutex_unlock(&d->lock);
     if (d->http)
         mv_http_close(d->http);
     mv_peer_close(d->back);
     for (guint i = 0; i < d->threads->len; i++)
         pthread_join(*(pthread_t *)g_ptr_array_index(d->threads, i), NULL);
-    for (size_t i = 0; i < G_N_ELEMENTS(queues); i++) {
-        g_queue_clear_full(&queues[i]->actions, action_free);
-        pthread_cond_destroy(&queues[i]->filled);
+    for (size_t i = 0; i < N_QUEUES; i++) {
+        g_queue_clear_full(&queue_at(d, i)->actions, action_free);
+        pthread_cond_destroy(&queue_at(d, i)->filled);
     }
     for (size_t i = 0; i < d->conf->n_siblings; i++)
         mv_peer_free(d->peers[i]);
--- a/src/storage/state.c
+++ b/src/storage/state.c
@@ -7,8 +7,26 @@
 #include <pthread.h>
 #include <string.h>
 
+/* A request on its way through one of the callers. */
+typedef struct {
+    const char *method, *path;
+    GBytes *body;
+    unsigned timeout_ms;
+    mv_http_answer answer;
+    bool done;
+    pthread_cond_t finished;
+} errand;
+
 struct mv_state {
     char to[80];
+    /* Users' connections come and go, each with a routine of its own; a client and a connection to
+     * the state service for each of those cost more than all else that a poll does. A few callers
+     * that stay keep theirs. */
+    pthread_t callers[MV_STATE_CALLERS];
+    unsigned n_callers;
+    GQueue errands;
+    pthread_cond_t posted;
+    bool stopping;
     double write_rate;
     pthread_mutex_t lock;
     double tokens;
@@ -16,6 +34,57 @@
     uint64_t hold;
 };
 
+static void *caller_routine(void *arg)
+{
+    mv_state *s = arg;
+    pthread_mutex_lock(&s->lock);
+    for (;;) {
+        while (!s->stopping && g_queue_is_empty(&s->errands))
+            pthread_cond_wait(&s->posted, &s->lock);
+        errand *e = g_queue_pop_head(&s->errands);
+        if (!e)
+            break;
+        pthread_mutex_unlock(&s->lock);
+        mv_http_call(e->method, s->to, e->path, e->body, e->timeout_ms, &e->answer);
+        pthread_mutex_lock(&s->lock);
+        e->done = true;
+        pthread_cond_signal(&e->finished);
+    }
+    pthread_mutex_unlock(&s->lock);
+    return NULL;
+}
+
+static void start_callers(mv_state *s)
+{
+    pthread_attr_t attr;
+    pthread_attr_init(&attr);
+    pthread_attr_setstacksize(&attr, MV_STACK_BYTES);
+    while (s->n_callers < MV_STATE_CALLERS &&
+           pthread_create(&s->callers[s->n_callers], &attr, caller_routine, s) == 0)
+        s->n_callers++;
+    pthread_attr_destroy(&attr);
+}
+
+/* One request, carried out by a caller. Without callers by ourselves. */
+static void send_errand(mv_state *s, const char *method, const char *path, GBytes *body,
+                        unsigned timeout_ms, mv_http_answer *answer)
+{
+    if (s->n_callers == 0) {
+        mv_http_call(method, s->to, path, body, timeout_ms, answer);
+        return;
+    }
+    errand e = {.method = method, .path = path, .body = body, .timeout_ms = timeout_ms};
+    pthread_cond_init(&e.finished, NULL);
+    pthread_mutex_lock(&s->lock);
+    g_queue_push_tail(&s->errands, &e);
+    pthread_cond_signal(&s->posted);
+    while (!e.done)
+        pthread_cond_wait(&e.finished, &s->lock);
+    pthread_mutex_unlock(&s->lock);
+    pthread_cond_destroy(&e.finished);
+    *answer = e.answer;
+}
+
 mv_state *mv_state_new(const mv_settings *conf)
 {
     mv_state *s = g_new0(mv_state, 1);
@@ -24,6 +93,8 @@
     s->tokens = s->write_rate;
     s->filled_us = g_get_monotonic_time();
     pthread_mutex_init(&s->lock, NULL);
+    pthread_cond_init(&s->posted, NULL);
+    start_callers(s);
     return s;
 }
 
@@ -31,6 +102,13 @@
 {
     if (!s)
         return;
+    pthread_mutex_lock(&s->lock);
+    s->stopping = true;
+    pthread_cond_broadcast(&s->posted);
+    pthread_mutex_unlock(&s->lock);
+    for (unsigned i = 0; i < s->n_callers; i++)
+        pthread_join(s->callers[i], NULL);
+    pthread_cond_destroy(&s->posted);
     pthread_mutex_destroy(&s->lock);
     g_free(s);
 }
@@ -83,15 +161,18 @@
 }
 
 /* One request; above the limit the service asks for a pause, which is short. */
-static mv_state_result call(mv_state *s, const char *method, const char *path, GBytes *body,
-                            unsigned timeout_ms, mv_doc **doc)
+static mv_state_result call(mv_state *s, bool by_caller, const char *method, const char *path,
+                            GBytes *body, unsigned timeout_ms, mv_doc **doc)
 {
     mv_state_result result = MV_STATE_REFUSED;
     if (doc)
         *doc = NULL;
     for (unsigned try = 0; try < MV_STATE_TRIES; try++) {
         mv_http_answer a;
-        mv_http_call(method, s->to, path, body, timeout_ms, &a);
+        if (by_caller)
+            send_errand(s, method, path, body, timeout_ms, &a);
+        else
+            mv_http_call(method, s->to, path, body, timeout_ms, &a);
         int status = a.status;
         result = judge(&a);
         if (doc && status) {
@@ -121,7 +202,7 @@
     g_snprintf(path, sizeof path, N_STORE "/%s", key);
     *data = NULL;
     g_autoptr(mv_doc) doc = NULL;
-    mv_state_result r = call(s, "GET", path, NULL, MV_STATE_TIMEOUT_MS, &doc);
+    mv_state_result r = call(s, true, "GET", path, NULL, MV_STATE_TIMEOUT_MS, &doc);
     if (r != MV_STATE_OK)
         return r;
     const msgpack_object *o = mv_get(mv_doc_root(doc), N_DATA);
@@ -166,7 +247,7 @@
     pthread_mutex_unlock(&s->lock);
     g_autoptr(GBytes) body = pack_txn(conds, changes, hold);
     budget(s, changes->len, urgent);
-    return call(s, "POST", N_TXN, body, MV_STATE_TIMEOUT_MS, NULL);
+    return call(s, true, "POST", N_TXN, body, MV_STATE_TIMEOUT_MS, NULL);
 }
 
 mv_state_result mv_state_session_open(mv_state *s, uint64_t *hold)
@@ -176,7 +257,7 @@
     mv_field_u64(o, N_TTL, (uint64_t)(MV_SESSION_TTL_S * 1000));
     g_autoptr(GBytes) body = mv_out_take(o);
     g_autoptr(mv_doc) doc = NULL;
-    mv_state_result r = call(s, "POST", N_LEASES, body, MV_STATE_TIMEOUT_MS, &doc);
+    mv_state_result r = call(s, false, "POST", N_LEASES, body, MV_STATE_TIMEOUT_MS, &doc);
     if (r != MV_STATE_OK)
         return r;
     if (mv_get_u64(mv_doc_root(doc), N_HOLD, hold) != MV_GOT)
@@ -193,7 +274,7 @@
     pthread_mutex_lock(&s->lock);
     g_snprintf(path, sizeof path, N_LEASES "/%" G_GUINT64_FORMAT "/" N_RENEW, s->hold);
     pthread_mutex_unlock(&s->lock);
-    return call(s, "POST", path, NULL, MV_SESSION_TIMEOUT_MS, NULL);
+    return call(s, false, "POST", path, NULL, MV_SESSION_TIMEOUT_MS, NULL);
 }
 
 mv_state_result mv_state_list(mv_state *s, mv_state_seen seen, void *ctx, uint64_t *epoch)
@@ -209,7 +290,7 @@
             g_snprintf(path, sizeof path, N_STORE "?" N_STARTS "=" K_LIVE "&" N_PAGE "=%d",
                        MV_STORE_PAGE);
         g_autoptr(mv_doc) doc = NULL;
-        mv_state_result r = call(s, "GET", path, NULL, 2 * MV_STATE_TIMEOUT_MS, &doc);
+        mv_state_result r = call(s, false, "GET", path, NULL, 2 * MV_STATE_TIMEOUT_MS, &doc);
         if (r != MV_STATE_OK)
             return r;
         const msgpack_object *root = mv_doc_root(doc);
@@ -243,7 +324,7 @@
                N_FOLLOW "?" N_STARTS "=" K_LIVE "&" N_AFTER "=%" G_GUINT64_FORMAT "&" N_WAIT "=%d",
                *epoch, MV_FOLLOW_MS);
     g_autoptr(mv_doc) doc = NULL;
-    mv_state_result r = call(s, "GET", path, NULL, MV_FOLLOW_MS + MV_STATE_TIMEOUT_MS, &doc);
+    mv_state_result r = call(s, false, "GET", path, NULL, MV_FOLLOW_MS + MV_STATE_TIMEOUT_MS, &doc);
     if (r != MV_STATE_OK)
         return r;
     const msgpack_object *root = mv_doc_root(doc);
