--- a/src/constants.h
+++ b/src/constants.h
@@ -84,6 +84,7 @@
 #define MV_CLEAR_AFTER_S 8.0        /* or as long after the last time; each time costs a report */
 #define MV_REFUSED_START_S 2.0      /* no new launch after a worker refused one: our view is old */
 #define MV_RECALL_SPARE_S 6.0 /* saved tasks are stopped this long before their machine goes */
+#define MV_SPARE_WRITES 0.4  /* of the limit for writes, for progress where several write it */
 #define MV_FLUSH_S 0.7        /* progress records are written at most this often */
 #define MV_FLUSH_OPS 8        /* progress records in one transaction: leaves writes for others */
 #define MV_END_PAUSE_S 0.1    /* before the end of a job is tried again */
--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -131,6 +131,14 @@
     return *txn_id != 0;
 }
 
+unsigned mv_core_holders(const mv_core *c)
+{
+    g_autoptr(GHashTable) names = g_hash_table_new(g_str_hash, g_str_equal);
+    for (guint i = 0; i < c->shards->len; i++)
+        g_hash_table_add(names, ((shard *)g_ptr_array_index(c->shards, i))->holder.node);
+    return g_hash_table_size(names);
+}
+
 bool mv_core_settled(const mv_core *c)
 {
     for (guint i = 0; i < c->shards->len; i++) {
--- a/src/service/daemon.c
+++ b/src/service/daemon.c
@@ -268,8 +268,10 @@
 static double follow_pause(mv_daemon *d)
 {
     double now;
-    unsigned jobs = mv_core_jobs(mv_daemon_enter(d, &now));
+    const mv_core *core = mv_daemon_enter(d, &now);
+    unsigned jobs = mv_core_jobs(core), holders = mv_core_holders(core);
     mv_daemon_leave(d);
+    mv_state_share(d->state, holders);
     return MIN(MV_FOLLOW_PAUSE_MS + MV_FOLLOW_PER_JOB_MS * jobs, MV_FOLLOW_MOST_MS) / 1000.0;
 }
 
--- a/src/storage/state.c
+++ b/src/storage/state.c
@@ -29,7 +29,8 @@
     bool stopping;
     double write_rate;
     pthread_mutex_t lock;
-    double tokens;
+    double tokens, spare; /* writes that may be made now: at all, and by those that can wait */
+    unsigned writers;     /* controllers that write progress, ourselves among them */
     gint64 filled_us;
     uint64_t hold;
 };
@@ -91,6 +92,7 @@
     g_snprintf(s->to, sizeof s->to, "%s:%u", conf->state.host, conf->state.port);
     s->write_rate = conf->state_write_rps;
     s->tokens = s->write_rate;
+    s->writers = 1;
     s->filled_us = g_get_monotonic_time();
     pthread_mutex_init(&s->lock, NULL);
     pthread_cond_init(&s->posted, NULL);
@@ -113,24 +115,53 @@
     g_free(s);
 }
 
-/* Waits until `n` writes fit the budget. Writes that are not urgent leave half of it free. */
-static void budget(mv_state *s, unsigned n, bool urgent)
+/* The limit is for all controllers together. What can wait keeps to a share of it that is divided
+ * among those that write, so that submissions, ends and grants are not refused for its sake. */
+void mv_state_share(mv_state *s, unsigned writers)
+{
+    pthread_mutex_lock(&s->lock);
+    s->writers = MAX(writers, 1);
+    pthread_mutex_unlock(&s->lock);
+}
+
+static void refill(mv_state *s)
+{
+    gint64 now = g_get_monotonic_time();
+    double passed = (double)(now - s->filled_us) / 1e6;
+    double spare_rate = s->write_rate * MV_SPARE_WRITES / s->writers;
+    s->tokens = MIN(s->write_rate, s->tokens + passed * s->write_rate);
+    s->spare = MIN(MAX(spare_rate, MV_FLUSH_OPS), s->spare + passed * spare_rate);
+    s->filled_us = now;
+}
+
+/* Seconds to wait until `n` writes fit the budget; 0: they have been taken out of it. */
+static double take_writes(mv_state *s, unsigned n, bool urgent)
 {
     double floor = urgent ? 0 : s->write_rate / 2;
+    refill(s);
+    double missing = MIN(n + floor, s->write_rate) - s->tokens;
+    double wait = MAX(missing, 0) / s->write_rate;
+    if (!urgent && s->writers > 1) {
+        double late = MIN(n, (double)MV_FLUSH_OPS) - s->spare;
+        wait = MAX(wait, late * s->writers / (s->write_rate * MV_SPARE_WRITES));
+    }
+    if (wait > 0)
+        return wait;
+    s->tokens -= n;
+    if (!urgent)
+        s->spare -= n;
+    return 0;
+}
+
+static void budget(mv_state *s, unsigned n, bool urgent)
+{
     for (;;) {
         pthread_mutex_lock(&s->lock);
-        gint64 now = g_get_monotonic_time();
-        s->tokens =
-            MIN(s->write_rate, s->tokens + (double)(now - s->filled_us) / 1e6 * s->write_rate);
-        s->filled_us = now;
-        double need = MIN(n + floor, s->write_rate);
-        double missing = need - s->tokens;
-        if (missing <= 0)
-            s->tokens -= n;
+        double wait = take_writes(s, n, urgent);
         pthread_mutex_unlock(&s->lock);
-        if (missing <= 0)
+        if (wait <= 0)
             return;
-        g_usleep((gulong)(missing / s->write_rate * 1e6) + 1000);
+        g_usleep((gulong)(MIN(wait, 1) * 1e6) + 1000);
     }
 }
 
--- a/src/storage/state.h
+++ b/src/storage/state.h
@@ -16,6 +16,8 @@
 
 mv_state *mv_state_new(const mv_settings *settings);
 void mv_state_free(mv_state *s);
+/* How many controllers share the budget for writes that can wait. */
+void mv_state_share(mv_state *s, unsigned writers);
 
 /* A linearizable read. `data` is owned by the caller. */
 mv_state_result mv_state_get(mv_state *s, const char *key, GBytes **data, uint64_t *stamp);
