Deaf machines, late copies, isolated controllers, instant returns: evidence weighed in one place; nobody starved

Machines that report but hear nothing kept their tasks for ever, late copies brought released machines back to the books, and large jobs had no bound to their wait.

--- a/src/constants.h
+++ b/src/constants.h
@@ -19,11 +19,11 @@
 #define MV_ID_SIZE 32        /* job ids, node names of the wire are shorter */
 #define MV_NAME_SIZE 96      /* names of teams, types, zones, images, machines */
 #define MV_MAX_TYPES 32      /* machine types that the service tells apart; a bit set */
-#define MV_MAX_SHARDS 100     /* numbers of shards that records may carry */
-#define MV_MAX_PARTS 10000    /* and of the parts of a block */
-#define MV_PART_MOST 50       /* machines in one part of a block at most: one rental */
-#define MV_PART_LEAST 10      /* and at least, however small a value may be */
-#define MV_MEMBER_BYTES 200   /* of a value, allowed for each of them; 130 seen */
+#define MV_MAX_SHARDS 100    /* numbers of shards that records may carry */
+#define MV_MAX_PARTS 10000   /* and of the parts of a block */
+#define MV_PART_MOST 50      /* machines in one part of a block at most: one rental */
+#define MV_PART_LEAST 10     /* and at least, however small a value may be */
+#define MV_MEMBER_BYTES 200  /* of a value, allowed for each of them; 130 seen */
 #define MV_CHUNK_TASKS 16384 /* tasks in one progress record: 4 KiB of hex digits */
 
 /* --- membership, seconds --- */
@@ -42,59 +42,67 @@
 #define MV_REBALANCE_S 10.0 /* pause between moves of shards to controllers that came back */
 
 /* --- placement, seconds --- */
-#define MV_IMAGE_WAIT_S 5.0        /* DESIGN: wait for a machine that has the image */
-#define MV_ROUNDING 1e-6           /* cores, cards, GB: sums of decimal fractions */
-#define MV_ATTEMPT_BITS 24         /* low bits of an attempt: placements within one term */
-#define MV_START_SHARE 0.1         /* of a start aim that may go on waiting for an image */
-#define MV_KEEP_SHARE 0.2          /* of a team's limit, at most, is kept free for such work */
-#define MV_SOON_SMOOTH 0.2         /* weight of the latest such job in the usual size */
-#define MV_FETCH_STEP_S 0.5        /* differences in fetch time that matter */
-#define MV_SOON_S 20.0             /* start aims below this justify stopping other work */
-#define MV_PREEMPT_AT_ONCE 400u    /* tasks of a job that room is made for in one round */
-#define MV_RETRY_BASE_S 1.0        /* first pause after a task failed; doubles */
-#define MV_RETRY_MAX_S 30.0        /* longest pause: a job that fails everywhere costs little */
-#define MV_FAULTY_JOBS 2           /* a machine that failed tasks of this many jobs is drained */
-#define MV_ROUND_S 0.02            /* least pause between rounds of placement */
+#define MV_IMAGE_WAIT_S 5.0     /* DESIGN: wait for a machine that has the image */
+#define MV_ROUNDING 1e-6        /* cores, cards, GB: sums of decimal fractions */
+#define MV_ATTEMPT_BITS 24      /* low bits of an attempt: placements within one term */
+#define MV_START_SHARE 0.1      /* of a start aim that may go on waiting for an image */
+#define MV_KEEP_SHARE 0.2       /* of a team's limit, at most, is kept free for such work */
+#define MV_SOON_SMOOTH 0.2      /* weight of the latest such job in the usual size */
+#define MV_FETCH_STEP_S 0.5     /* differences in fetch time that matter */
+#define MV_SOON_S 20.0          /* start aims below this justify stopping other work */
+#define MV_PREEMPT_AT_ONCE 400u /* tasks of a job that room is made for in one round */
+#define MV_STARVED_S 75.0       /* a job of which nothing ran for this long precedes its equals */
+#define MV_STARVED_MOST_S 150.0 /* and all others; 4 minutes are the rule */
+#define MV_RETRY_BASE_S 1.0     /* first pause after a task failed; doubles */
+#define MV_RETRY_MAX_S 30.0     /* longest pause: a job that fails everywhere costs little */
+#define MV_FAULTY_JOBS 2        /* a machine that failed tasks of this many jobs is drained */
+#define MV_ROUND_S 0.02         /* least pause between rounds of placement */
 #define MV_ROUND_PER_TASK_S 0.0002 /* more pause for each waiting task: batches widen with load */
-#define MV_ROUND_PER_WORK_S 0.000006 /* and for each machine looked at: 0.1 us each, 1.5% of a core */
-#define MV_ROUND_LATEST_S 1.0      /* but never more than this */
-#define MV_UNPLACED_KINDS 16u      /* kinds of tasks without room that a round remembers */
-#define MV_PREEMPT_PAUSE_S 0.7     /* before room is made for the same job again, in a large fleet */
-#define MV_PREEMPT_WORK 8          /* a machine's look for victims against one for room */
-#define MV_TICK_LATE_S 0.5         /* a tick this late shows that our own processor is behind */
-#define MV_LATE_FACTOR 4.0         /* then others' silence says nothing for this many times that */
-#define MV_LATE_MAX_S 10.0         /* but at most so long */
-#define MV_ROUND_MAX_S 0.5         /* longest pause between rounds */
-#define MV_SLOW_PACE 1.5           /* times what others take for the same job: used last */
-#define MV_CRAWL_PACE 4.0          /* and from here on it is emptied and returned */
-#define MV_PACE_PEERS 3            /* completed tasks of a job that make a measure */
-#define MV_PACE_SMOOTH 0.3         /* weight of the latest task in a machine's pace */
-#define MV_PACE_FADE 0.025         /* per second: half forgotten in about 30 s */
-#define MV_TICK_S 0.1              /* how often time is told to the core */
-#define MV_WATCH_TICKS 4           /* ticks in which every machine is looked at once */
-#define MV_ASK_AFTER_S 1.2         /* a machine of a large fleet has this long to come by itself */
-#define MV_WATCH_LEAST 64u         /* machines looked at in one tick at least */
-#define MV_SILENT_REPORTS 2.0 /* report intervals without a word before nothing more is placed */
-#define MV_PROBE_REPORTS 1.5  /* and before the machine is asked directly */
-#define MV_LOST_REPORTS 2.5   /* and before it is given up, if it did not answer either */
+#define MV_ROUND_PER_WORK_S                                                                        \
+    0.000006                   /* and for each machine looked at: 0.1 us each, 1.5% of a core */
+#define MV_ROUND_LATEST_S 1.0  /* but never more than this */
+#define MV_UNPLACED_KINDS 16u  /* kinds of tasks without room that a round remembers */
+#define MV_PREEMPT_PAUSE_S 0.7 /* before room is made for the same job again, in a large fleet */
+#define MV_PREEMPT_WORK 8      /* a machine's look for victims against one for room */
+#define MV_TICK_LATE_S 0.5     /* a tick this late shows that our own processor is behind */
+#define MV_LATE_FACTOR 4.0     /* then others' silence says nothing for this many times that */
+#define MV_LATE_MAX_S 10.0     /* but at most so long */
+#define MV_ROUND_MAX_S 0.5     /* longest pause between rounds */
+#define MV_SLOW_PACE 1.5       /* times what others take for the same job: used last */
+#define MV_CRAWL_PACE 4.0      /* and from here on it is emptied and returned */
+#define MV_PACE_PEERS 3        /* completed tasks of a job that make a measure */
+#define MV_PACE_SMOOTH 0.3     /* weight of the latest task in a machine's pace */
+#define MV_PACE_FADE 0.025     /* per second: half forgotten in about 30 s */
+#define MV_TICK_S 0.1          /* how often time is told to the core */
+#define MV_WATCH_TICKS 4       /* ticks in which every machine is looked at once */
+#define MV_ASK_AFTER_S 1.2     /* a machine of a large fleet has this long to come by itself */
+#define MV_WATCH_LEAST 64u     /* machines looked at in one tick at least */
+#define MV_SILENT_REPORTS 2.0  /* report intervals without a word before nothing more is placed */
+#define MV_PROBE_REPORTS 1.5   /* and before the machine is asked directly */
+#define MV_LOST_REPORTS 2.5    /* and before it is given up, if it did not answer either */
 #define MV_LOST_ANYWAY_REPORTS 12.0 /* given up after this even if nobody at all is heard */
 #define MV_PROBES_FAILED 2          /* direct commands without an answer that make it lost */
+#define MV_DEAF_FAILS 3u            /* commands without an answer, while reports come */
+#define MV_DEAF_REPORTS 3.0         /* and for so many report intervals, that make it deaf */
+#define MV_MUTE_REPORTS 10.0        /* where most are deaf, we rather are mute: not before this */
+#define MV_KNOCKS 400u              /* machines in no block that are asked at once */
+#define MV_KNOCK_S 4.0              /* and again after this long */
 #define MV_HEARD_REPORTS 2.5        /* none heard of within this: it is rather we who are cut off */
 #define MV_CLEAR_BATCH 8u           /* ended tasks of a machine that are cleared together */
 #define MV_CLEAR_AFTER_S 8.0        /* or as long after the last time; each time costs a report */
 #define MV_REFUSED_START_S 2.0      /* no new launch after a worker refused one: our view is old */
 #define MV_RECALL_SPARE_S 6.0 /* saved tasks are stopped this long before their machine goes */
-#define MV_SPARE_WRITES 0.4  /* of the limit for writes, for progress where several write it */
+#define MV_SPARE_WRITES 0.4   /* of the limit for writes, for progress where several write it */
 #define MV_FLUSH_S 0.7        /* progress records are written at most this often */
 #define MV_FLUSH_OPS 8        /* progress records in one transaction: leaves writes for others */
 #define MV_END_PAUSE_S 0.1    /* before the end of a job is tried again */
 #define MV_LEARN_WINDOW 30u   /* tasks over which the run time against guess_s is smoothed */
 #define MV_DEMAND_S 0.5       /* holders tell the leader what they need */
 #define MV_DEMAND_PER_MACHINE_S 0.001 /* and less often the more there is to tell */
-#define MV_OFFER_IDLE_S 0.7     /* idle this long before a machine is offered to other holders */
-#define MV_OFFER_KEEP 20u       /* one in so many of a block's machines is not offered */
-#define MV_PARTS_AT_ONCE 7u     /* parts of a block in one transaction: 64 KiB hold nine */
-#define MV_DEMAND_OLD_S 4.0   /* older demands are not acted upon */
+#define MV_OFFER_IDLE_S 0.7 /* idle this long before a machine is offered to other holders */
+#define MV_OFFER_KEEP 20u   /* one in so many of a block's machines is not offered */
+#define MV_PARTS_AT_ONCE 7u /* parts of a block in one transaction: 64 KiB hold nine */
+#define MV_DEMAND_OLD_S 4.0 /* older demands are not acted upon */
 
 /* --- fleet, seconds --- */
 #define MV_FENCE_AFTER_S 10.0 /* launches without an answer are fenced off by a new term */
@@ -111,13 +119,14 @@
 
 /* --- runtime --- */
 #define MV_STACK_BYTES (96 * 1024) /* thread stacks: hundreds must fit in the memory */
-#define MV_COMMAND_THREADS 6       /* direct commands in flight */
+#define MV_COMMAND_THREADS 12      /* direct commands in flight */
 #define MV_LANE_SLOW_S 0.1         /* a lane busy for longer is helped out by others */
-#define MV_COMMANDS_QUEUED 24u     /* and waiting for one of them: later ones say more */
+#define MV_COMMANDS_QUEUED 36u     /* and waiting for one of them: later ones say more */
 #define MV_STATE_CALLERS 8         /* requests of users and transactions at the state service */
 #define MV_TXN_THREADS 2           /* transactions in flight */
 #define MV_CLOUD_THREADS 2         /* cloud calls in flight: one may hang */
 #define MV_COMMAND_TIMEOUT_MS 1500 /* a direct command without an answer */
+#define MV_PROBE_TIMEOUT_MS 900    /* and one that carries no order: a dead machine holds up less */
 #define MV_STATE_TIMEOUT_MS 1500   /* a request to the state service without an answer */
 #define MV_SESSION_TIMEOUT_MS 700  /* a renewal without an answer is sent again */
 #define MV_STATE_TRIES 4           /* tries of a request that was over the limit */
@@ -125,24 +134,24 @@
 #define MV_CLOUD_TIMEOUT_MS 5000   /* a cloud call without an answer */
 #define MV_PASS_ON_MS 1500         /* a request that a sibling serves for us */
 #define MV_PEER_TIMEOUT_MS 600     /* a sibling without an answer */
-#define MV_HEALTH_S 0.5            /* how often siblings are asked while the state service is silent */
-#define MV_FOLLOW_MS 3000          /* length of one watch: what a cut swallows shows after it */
-#define MV_FOLLOW_PAUSE_MS 80      /* least time between watches: batches changes */
-#define MV_FOLLOW_PER_JOB_MS 2     /* and more for each live job, as there is more to batch */
-#define MV_FOLLOW_MOST_MS 250      /* but at most this */
-#define MV_LISTEN_PATIENCE_S 5.0   /* without the records for this long, serve what can be served */
-#define MV_HTTP_BACKLOG 1024       /* connections that wait to be accepted */
-#define MV_HTTP_CONNECTIONS 2000   /* connections served at once: they fit the memory */
-#define MV_HTTP_SHARE 0.6          /* of all sockets, for connections that others open */
-#define MV_REQUEST_ROUTINES 24     /* users' requests that wait for the state service at once */
-#define MV_REQUESTS_WAITING 200u   /* and those that wait for a routine; more are sent away */
+#define MV_HEALTH_S 0.5        /* how often siblings are asked while the state service is silent */
+#define MV_FOLLOW_MS 3000      /* length of one watch: what a cut swallows shows after it */
+#define MV_FOLLOW_PAUSE_MS 80  /* least time between watches: batches changes */
+#define MV_FOLLOW_PER_JOB_MS 2 /* and more for each live job, as there is more to batch */
+#define MV_FOLLOW_MOST_MS 250  /* but at most this */
+#define MV_LISTEN_PATIENCE_S 5.0  /* without the records for this long, serve what can be served */
+#define MV_HTTP_BACKLOG 1024      /* connections that wait to be accepted */
+#define MV_HTTP_CONNECTIONS 2000  /* connections served at once: they fit the memory */
+#define MV_HTTP_SHARE 0.6         /* of all sockets, for connections that others open */
+#define MV_REQUEST_ROUTINES 24    /* users' requests that wait for the state service at once */
+#define MV_REQUESTS_WAITING 200u  /* and those that wait for a routine; more are sent away */
 #define MV_HTTP_MEMORY (8 * 1024) /* bytes MHD keeps for one connection */
-#define MV_SHED_RETRY_S 2          /* seconds in Retry-After of a 429 */
-#define MV_CONNECTION_IDLE_S 120   /* seconds after which MHD ends an idle connection */
-#define MV_ABORT_TRIES 4           /* a cancellation against a record that keeps changing */
-#define MV_RETRY_AFTER_S 1         /* seconds in Retry-After of a 503 */
+#define MV_SHED_RETRY_S 2         /* seconds in Retry-After of a 429 */
+#define MV_CONNECTION_IDLE_S 120  /* seconds after which MHD ends an idle connection */
+#define MV_ABORT_TRIES 4          /* a cancellation against a record that keeps changing */
+#define MV_RETRY_AFTER_S 1        /* seconds in Retry-After of a 503 */
 #define MV_MAX_ANSWER (8 * 1024 * 1024) /* bytes of an answer we read; watches have no limit */
-#define MV_CLIENT_CONNECTIONS 200       /* connections a thread keeps open: its lane's machines */
+#define MV_CLIENT_CONNECTIONS 100       /* connections a thread keeps open: its lane's machines */
 #define MV_CONNECT_TIMEOUT_MS 1000      /* nothing is further away than this */
 #define MV_MAX_FRAME (256 * 1024)       /* bytes of a message between controllers */
 #define MV_PEER_CONNECTIONS 64          /* connections from siblings, old ones included */
--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -190,6 +190,7 @@
     c->commandable = g_ptr_array_new();
     c->commands = g_hash_table_new(g_int64_hash, g_int64_equal);
     c->ending = g_hash_table_new(g_int64_hash, g_int64_equal);
+    c->knocks = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     c->images = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     c->open = g_ptr_array_new();
     c->silent = g_ptr_array_new();
@@ -220,6 +221,7 @@
     g_ptr_array_unref(c->unplaced);
     g_hash_table_unref(c->commands);
     g_hash_table_unref(c->ending);
+    g_hash_table_unref(c->knocks);
     g_hash_table_unref(c->images);
     g_hash_table_unref(c->machines);
     g_hash_table_unref(c->jobs);
--- a/src/coordination/core.h
+++ b/src/coordination/core.h
@@ -67,6 +67,7 @@
     /* COMMAND */
     char machine[MV_NAME_SIZE], address[64];
     uint64_t baton, tenure;
+    unsigned timeout_ms;
     GArray *orders;
     /* cloud */
     char name[MV_NAME_SIZE], hull[MV_NAME_SIZE], yard[MV_NAME_SIZE];
--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -47,7 +47,7 @@
             g_strlcpy(w.yard, j->spec.yard, sizeof w.yard);
         g_array_append_val(d->wants, w);
     }
-    unsigned heard = 0, silent = 0;
+    unsigned heard = 0, silent = 0, deaf = 0, confirmed = 0;
     for (guint i = 0; i < c->turn->len; i++) {
         machine *m = g_ptr_array_index(c->turn, i);
         if (m->shard != s)
@@ -74,9 +74,13 @@
         g_array_append_val(d->notes, n);
         heard += n.heard;
         silent += m->command_fails >= MV_PROBES_FAILED;
+        deaf += m->deaf_fails >= MV_DEAF_FAILS;
+        confirmed += m->confirmed;
     }
-    /* Nobody answers us: it is rather we who are cut off than every machine that died. */
-    d->resign = silent > 1 && heard == 0;
+    /* Nobody answers us, or most hear nothing of us: it is rather we who are cut off than every
+     * machine that died or went deaf. */
+    s->mute = deaf > 0 && 2 * deaf > confirmed;
+    d->resign = (silent > 1 && heard == 0) || (s->mute && deaf > 1);
     return d;
 }
 
@@ -244,7 +248,7 @@
 
 /* --- the leader's books --- */
 
-static bool buried(const mv_core *c, const char *id)
+bool mv_fleet_buried(const mv_core *c, const char *id)
 {
     return g_hash_table_contains(c->tombs, id);
 }
@@ -309,7 +313,7 @@
  * died before it could record it. */
 void mv_fleet_adopt(mv_core *c, const mv_member *b)
 {
-    if (c->shards->len == 0 || buried(c, b->id) || added_already(c, b->id))
+    if (c->shards->len == 0 || mv_fleet_buried(c, b->id) || added_already(c, b->id))
         return;
     shard *least = g_ptr_array_index(c->shards, 0);
     for (guint i = 1; i < c->shards->len; i++)
@@ -364,7 +368,7 @@
         mv_member b = g_array_index(s->adds, mv_member, s->adds->len - 1);
         const machine *m = g_hash_table_lookup(c->machines, b.id);
         g_array_set_size(s->adds, s->adds->len - 1);
-        if ((m && m->shard) || buried(c, b.id))
+        if ((m && m->shard) || mv_fleet_buried(c, b.id))
             continue;
         g_array_append_val(members, b);
         any = true;
@@ -427,7 +431,7 @@
     for (guint i = s->adds->len; i-- > 0;) {
         const mv_member *b = &g_array_index(s->adds, mv_member, i);
         const machine *m = g_hash_table_lookup(c->machines, b->id);
-        if ((m && m->shard) || buried(c, b->id))
+        if ((m && m->shard) || mv_fleet_buried(c, b->id))
             g_array_remove_index_fast(s->adds, i);
     }
     for (guint i = 0; i < s->chunks->len; i++) {
@@ -742,7 +746,8 @@
         mv_txn_if(a, key, k->block_stamp);
         mv_txn_set(a, key, mv_block_pack(rest), false);
         g_snprintf(key, sizeof key, K_USED "%u/%u", from->index, p);
-        mv_txn_if(a, key, k->used_stamp);
+        if (!GUARD(OFFER, false))
+            mv_txn_if(a, key, k->used_stamp);
         ops++;
     }
     g_snprintf(key, sizeof key, K_BLOCK "%u/%u", to->index, room_in);
--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -14,7 +14,12 @@
     MV_GUARD_RELEASED,  /* a silent machine's tasks wait until it is gone for certain */
     MV_GUARD_KIND,      /* spot machines only for jobs that allow them */
     MV_GUARD_CANCELLED, /* tasks of cancelled jobs are stopped */
-    MV_GUARD_ALL_DONE   /* a job ends only with its last task */
+    MV_GUARD_ALL_DONE,  /* a job ends only with its last task */
+    MV_GUARD_NEWER,     /* reports that are not newer prove nothing */
+    MV_GUARD_OWN_TOKEN, /* reports under an older token do not tell what is on a machine */
+    MV_GUARD_DEAF,      /* a machine that nothing reaches is given back though it reports */
+    MV_GUARD_OFFER,     /* a move holds only while the offer does */
+    MV_GUARD_STARVED    /* age overtakes size */
 } mv_guard;
 
 #ifdef MV_BREAKABLE
@@ -95,9 +100,11 @@
     bool give_back, faulty, lost;
     uint64_t offer; /* stamp of the record of its use when it was offered to others; 0: not */
     double no_room_until, watched_at;
-    double cleared_at;  /* when ended tasks were last cleared */
-    bool clearing;      /* those of the report at hand are */
-    double answered_at; /* a report under an older token got ours in answer */
+    double deaf_since;   /* when something of ours first got no answer; 0: all arrived */
+    unsigned deaf_fails; /* commands without an answer since then */
+    double cleared_at;   /* when ended tasks were last cleared */
+    bool clearing;       /* those of the report at hand are */
+    double answered_at;  /* a report under an older token got ours in answer */
     double pace;      /* run times here over those of the same jobs elsewhere, smoothed; 1: alike */
     mv_room promised; /* within a round, to work that room is being made for */
     GHashTable *failed_jobs; /* id -> whether the job did well elsewhere */
@@ -143,8 +150,9 @@
     uint64_t ending_txn;
     double flushed_at;
     unsigned shown_running;
-    bool guaranteed, doomed, counted, starved;
-    double work; /* core seconds that wait */
+    bool guaranteed, doomed, counted;
+    unsigned starved; /* 1: precedes its equals, 2: precedes all */
+    double work;      /* core seconds that wait */
     double next_preempt;
 };
 
@@ -153,7 +161,8 @@
     shard *shard;                  /* where the jobs of a team with a limit or guarantee belong */
     double used_cores, used_cards; /* placements */
     double soon_used, soon_size;   /* by work that must start soon: now, and a usual job */
-    double stopping_cores, promised_cores; /* within a round */
+    double stopping_cores;                 /* by tasks that were told to stop */
+    double promised_cores, held_cores;     /* within a round */
 };
 
 /* A block is stored in several records, for a value has a limit; each names some machines. */
@@ -188,6 +197,7 @@
     GArray *adds; /* mv_member */
     mv_demand *demand;
     double demand_got_at;
+    bool mute;          /* most of its machines hear nothing: it is rather our own line */
     bool unmet;         /* it wants machines that are neither there nor coming */
     unsigned passed_on; /* times in a row that its holder reached no machine */
 };
@@ -197,6 +207,13 @@
     uint64_t incarnation, stamp;
 } node_entry;
 
+/* A machine in no block that reported, and was asked. */
+typedef struct {
+    mv_member member;
+    uint64_t command_id;
+    double at;
+} knock;
+
 typedef struct {
     uint64_t id;
     char hire[MV_NAME_SIZE], hull[MV_NAME_SIZE], yard[MV_NAME_SIZE];
@@ -225,6 +242,7 @@
     guint next_watch;       /* where the watch over machines goes on */
     GPtrArray *commandable; /* machines that want a direct command */
     GHashTable *commands;   /* id of a command in flight -> machine */
+    GHashTable *knocks;     /* name -> knock */
     GHashTable *ending;     /* id of a transaction that ends a job -> job */
     GHashTable *images;     /* bundle -> number */
     GPtrArray *open;        /* within a round: machines that may take tasks, in turn */
@@ -344,4 +362,5 @@
 /* fleet.c */
 void mv_fleet_tick(mv_core *c);
 void mv_fleet_adopt(mv_core *c, const mv_member *m);
+bool mv_fleet_buried(const mv_core *c, const char *id);
 #endif
--- a/src/coordination/machines.c
+++ b/src/coordination/machines.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 static void drop_placement(mv_core *c, machine *m, guint index, bool requeue);
+static void delivered(machine *m);
 
 /* --- life --- */
 
@@ -55,6 +56,7 @@
     m->confirmed = m->fresh = m->give_back = m->lost = false;
     forget_command(c, m);
     m->command_fails = m->proofs = 0;
+    delivered(m);
     m->no_command_until = 0;
     m->wants_command = false;
     m->idle_since = c->now;
@@ -106,8 +108,8 @@
 
 bool mv_usable(const mv_core *c, const machine *m)
 {
-    return m->shard && m->confirmed && m->used && !m->give_back && !m->offer && !m->faulty &&
-           !m->lost && !m->recall_at && !m->strangers && mv_holds(c, m->shard) &&
+    return m->shard && m->confirmed && m->used && !m->give_back && !m->offer && !m->deaf_since &&
+           !m->faulty && !m->lost && !m->recall_at && !m->strangers && mv_holds(c, m->shard) &&
            c->now - m->heard_at < MV_SILENT_REPORTS * c->conf->report_s;
 }
 
@@ -354,6 +356,8 @@
         add_order(orders, MV_STOP, piece, 0);
         return;
     }
+    if (!p->seen && !p->adopted)
+        delivered(m);
     p->seen = true;
     p->unsettled = false;
     if (!j) { /* cancelled */
@@ -406,13 +410,38 @@
     }
 }
 
-static bool newer(const machine *m, const mv_report *r)
+/* The order of evidence, for reports and for the answers of commands alike. What is not newer by
+ * (tenure, tick) than all before is a copy or came late, and proves nothing. What is newer but was
+ * written under an older token proves which session it is, no more: a copy of it may be minutes old
+ * and new only to us, who have not known the machine for long; it is no sign of life, and what it
+ * does not list may yet start by an older holder's command. Only under our own token does a report
+ * tell what is on the machine. */
+typedef enum { PROVES_NOTHING, PROVES_SESSION, PROVES_TASKS } evidence;
+
+static evidence weigh(const machine *m, const mv_report *r)
 {
-    return r->tenure > m->tenure || (r->tenure == m->tenure && r->tick > m->tick);
+    bool newer = r->tenure > m->tenure || (r->tenure == m->tenure && r->tick > m->tick);
+    if (!GUARD(NEWER, newer))
+        return PROVES_NOTHING;
+    return GUARD(OWN_TOKEN, r->baton >= mv_token(m)) ? PROVES_TASKS : PROVES_SESSION;
+}
+
+/* Something of ours reached the worker: a command was answered, or a report shows its effect. */
+static void delivered(machine *m)
+{
+    m->deaf_since = 0;
+    m->deaf_fails = 0;
 }
 
 static void new_tenure(mv_core *c, machine *m, uint64_t tenure)
 {
+    /* Its lease ran out although its reports were answered: the answers may not reach it. */
+    if (m->tenure && tenure > m->tenure && m->confirmed && !m->deaf_since &&
+        m->heard_at > c->now - c->conf->lease_s) {
+        m->deaf_since = c->now;
+        m->probe = true;
+        mv_want_command(c, m);
+    }
     if (m->tenure && tenure > m->tenure) {
         /* Its lease ran out: everything of earlier sessions is gone. */
         for (guint i = m->placements->len; i-- > 0;)
@@ -432,19 +461,25 @@
     }
 }
 
-/* Reads a report that is newer than any before; `orders` gets what the worker should do. */
-static void read_report(mv_core *c, machine *m, const mv_report *r, GArray *orders)
+/* Its reports come, but nothing of ours gets there: hearing from a machine is no proof of reaching
+ * it. Where that is so of most, it is rather our own line, for a while. */
+static bool is_deaf(const mv_core *c, const machine *m)
+{
+    double interval = c->conf->report_s, deaf_for = c->now - m->deaf_since;
+    bool heard = m->heard_at > m->deaf_since && c->now < m->heard_at + MV_HEARD_REPORTS * interval;
+    double needed = (m->shard->mute ? MV_MUTE_REPORTS : MV_DEAF_REPORTS) * interval;
+    return !GUARD(DEAF, false) && m->deaf_since > 0 && heard && m->deaf_fails >= MV_DEAF_FAILS &&
+           deaf_for > needed && c->now > c->late_until;
+}
+
+/* Reads what a report proves; `orders` gets what the worker should do. */
+static void read_report(mv_core *c, machine *m, const mv_report *r, evidence e, GArray *orders)
 {
     bool was = m->confirmed;
     new_tenure(c, m, r->tenure);
     m->tick = r->tick;
-    m->heard_at = m->heard_any_at = c->now;
-    m->command_fails = m->proofs = 0;
-    m->shard->heard_at = c->now;
-    m->lost = false;
-    g_strlcpy(m->address, r->address, sizeof m->address);
-    m->recall_at = r->recall_s >= 0 ? c->now + r->recall_s : 0;
-    if (r->baton < mv_token(m)) {
+    m->heard_any_at = c->now;
+    if (e == PROVES_SESSION) {
         /* The answer shows the worker our token, and its next report, which follows at once, shows
          * us its tasks. A fleet that all comes at once need not be asked besides. */
         if (m->shard->n_machines <= MV_WATCH_LEAST)
@@ -452,6 +487,14 @@
         m->answered_at = c->now;
         return;
     }
+    m->heard_at = c->now;
+    m->command_fails = m->proofs = 0;
+    m->shard->heard_at = c->now;
+    g_strlcpy(m->address, r->address, sizeof m->address);
+    m->recall_at = r->recall_s >= 0 ? c->now + r->recall_s : 0;
+    if (!was)
+        delivered(m);
+    m->lost = is_deaf(c, m);
     if (!was) /* nothing sent under an older token can arrive any more */
         settle_attempts(m);
     if (!was && !m->used)
@@ -490,15 +533,57 @@
     g_strlcpy(a->steward, node ? node : "", sizeof a->steward);
 }
 
+/* A report of a machine in no block may be a copy that outlived it: it is taken up only once it
+ * answers a question. */
+static void ask_stranger(mv_core *c, const mv_report *r)
+{
+    knock *k = g_hash_table_lookup(c->knocks, r->host);
+    if (k || g_hash_table_size(c->knocks) >= MV_KNOCKS || mv_fleet_buried(c, r->host))
+        return;
+    k = g_new0(knock, 1);
+    k->member = (mv_member){.loaners = r->loaners, .at = mv_wall(c)};
+    g_strlcpy(k->member.id, r->host, sizeof k->member.id);
+    g_strlcpy(k->member.address, r->address, sizeof k->member.address);
+    g_strlcpy(k->member.hull, r->hull, sizeof k->member.hull);
+    g_strlcpy(k->member.yard, r->yard, sizeof k->member.yard);
+    /* No token is lower than 0 and none is raised by it; there is nothing to carry out. */
+    mv_action *a = mv_act(c, MV_ACT_COMMAND);
+    g_strlcpy(a->machine, r->host, sizeof a->machine);
+    g_strlcpy(a->address, r->address, sizeof a->address);
+    a->tenure = MAX(r->tenure, 1);
+    a->timeout_ms = MV_PROBE_TIMEOUT_MS;
+    a->orders = g_array_new(FALSE, TRUE, sizeof(mv_order));
+    k->command_id = a->id;
+    k->at = c->now;
+    g_hash_table_insert(c->knocks, k->member.id, k);
+}
+
+static gboolean knock_answered(gpointer key, gpointer value, gpointer data)
+{
+    (void)key;
+    return ((knock *)value)->command_id == *(uint64_t *)data;
+}
+
+static void stranger_answered(mv_core *c, uint64_t id, const mv_report *r)
+{
+    knock *k = g_hash_table_find(c->knocks, knock_answered, &id);
+    if (!k)
+        return;
+    if (r && strcmp(r->host, k->member.id) == 0 && mv_leads(c))
+        mv_fleet_adopt(c, &k->member);
+    g_hash_table_remove(c->knocks, k->member.id);
+}
+
+static gboolean old_knock(gpointer key, gpointer value, gpointer data)
+{
+    (void)key;
+    return ((mv_core *)data)->now > ((knock *)value)->at + MV_KNOCK_S;
+}
+
 static void unknown_machine(mv_core *c, const mv_report *r, mv_report_answer *a)
 {
     if (mv_leads(c)) {
-        mv_member b = {.loaners = r->loaners, .at = mv_wall(c)};
-        g_strlcpy(b.id, r->host, sizeof b.id);
-        g_strlcpy(b.address, r->address, sizeof b.address);
-        g_strlcpy(b.hull, r->hull, sizeof b.hull);
-        g_strlcpy(b.yard, r->yard, sizeof b.yard);
-        mv_fleet_adopt(c, &b);
+        ask_stranger(c, r);
         a->status = 503;
         return;
     }
@@ -532,9 +617,10 @@
     a->status = 200;
     a->baton = mv_token(m);
     a->orders = g_array_new(FALSE, TRUE, sizeof(mv_order));
-    if (!newer(m, r)) /* a late copy: proves nothing, and its answer will be dropped */
+    evidence e = weigh(m, r);
+    if (e == PROVES_NOTHING) /* a late copy, and its answer will be dropped */
         return;
-    read_report(c, m, r, a->orders);
+    read_report(c, m, r, e, a->orders);
     /* What does not fit the answer follows from the next report. */
     if (a->orders->len > MV_MAX_ORDERS)
         g_array_set_size(a->orders, MV_MAX_ORDERS);
@@ -550,6 +636,7 @@
     g_strlcpy(a->address, m->address, sizeof a->address);
     a->baton = mv_token(m);
     a->tenure = MAX(m->tenure, 1);
+    a->timeout_ms = orders->len ? MV_COMMAND_TIMEOUT_MS : MV_PROBE_TIMEOUT_MS;
     a->orders = orders;
     m->command_id = a->id;
     m->command_at = c->now;
@@ -618,7 +705,13 @@
         m->proofs++;
     if (g_hash_table_size(m->sticky) == 0)
         m->sticky_since = c->now;
-    m->no_command_until = c->now + MIN(0.5 * m->command_fails, c->conf->report_s);
+    if (!m->deaf_since)
+        m->deaf_since = c->now;
+    m->deaf_fails++;
+    /* Nothing new is placed there until something gets through, so it is asked again. */
+    m->probe = true;
+    mv_want_command(c, m);
+    m->no_command_until = c->now + MIN(0.5 * m->deaf_fails, c->conf->report_s);
     for (guint i = 0; i < m->placements->len; i++) {
         placement *p = g_ptr_array_index(m->placements, i);
         if (p->seen || !p->sent_direct)
@@ -632,19 +725,27 @@
 {
     c->now = MAX(c->now, now);
     machine *m = g_hash_table_lookup(c->commands, &id);
-    if (!m)
+    if (!m) {
+        stranger_answered(c, id, status == 200 || status == 409 ? r : NULL);
         return;
+    }
     forget_command(c, m);
     if (!r || (status != 200 && status != 409)) {
         command_unanswered(c, m);
         return;
     }
     m->command_fails = 0;
+    delivered(m);
     if (!m->shard || !mv_holds(c, m->shard) || r->baton > mv_token(m))
         return;
-    if (newer(m, r)) {
+    /* An answer is as fresh as its question: if it knows less than we do, the machine began anew,
+     * with all that was on it gone. It is given back; its tasks wait for that, as for any other. */
+    if (r->tenure < m->tenure)
+        m->proofs += MV_PROBES_FAILED;
+    evidence e = weigh(m, r);
+    if (e != PROVES_NOTHING) {
         g_autoptr(GArray) orders = g_array_new(FALSE, TRUE, sizeof(mv_order));
-        read_report(c, m, r, orders);
+        read_report(c, m, r, e, orders);
         for (guint i = 0; status == 409 && i < m->placements->len; i++)
             ((placement *)g_ptr_array_index(m->placements, i))->sent_direct = false;
         if (status == 409 || !m->confirmed)
@@ -721,10 +822,11 @@
     bool lost = expected && c->now > c->late_until &&
                 ((no_answer && quiet > MV_LOST_REPORTS * interval) || no_trace ||
                  quiet > MV_LOST_ANYWAY_REPORTS * interval);
-    if (lost && !m->lost)
-        mv_info("machine_silent", "machine=%s quiet_s=%.1f pieces=%u", m->id, quiet,
+    bool deaf = is_deaf(c, m);
+    if ((lost || deaf) && !m->lost)
+        mv_info("machine_silent", "machine=%s quiet_s=%.1f deaf=%d pieces=%u", m->id, quiet, deaf,
                 m->placements->len);
-    m->lost = lost;
+    m->lost = lost || deaf;
     /* Its tasks stay placed: silence proves nothing. They wait until it is in no block. */
     while (lost && GUARD(RELEASED, false) && m->placements->len)
         drop_placement(c, m, m->placements->len - 1, true);
@@ -741,6 +843,7 @@
 /* Each machine is looked at a few times a second, some of them at each tick. */
 void mv_machines_tick(mv_core *c)
 {
+    g_hash_table_foreach_remove(c->knocks, old_knock, c);
     guint n = MIN(c->turn->len, MAX(MV_WATCH_LEAST, c->turn->len / MV_WATCH_TICKS + 1));
     for (guint i = 0; i < n; i++) {
         machine *m = g_ptr_array_index(c->turn, c->next_watch++ % c->turn->len);
--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -62,8 +62,9 @@
     const mv_team *t = j->team->conf;
     const mv_room *unknown = &j->home->unknown;
     bool cores_fit =
-        t->cpus_max <= 0 || j->team->used_cores + unknown->cores + j->spec.cores + kept_free(j) <=
-                                t->cpus_max + MV_ROUNDING;
+        t->cpus_max <= 0 ||
+        j->team->used_cores + unknown->cores + j->team->held_cores + j->spec.cores + kept_free(j) <=
+            t->cpus_max + MV_ROUNDING;
     bool cards_fit = t->gpus_max <= 0 || j->team->used_cards + unknown->cards + j->spec.cards <=
                                              t->gpus_max + MV_ROUNDING;
     return GUARD(LIMIT, cores_fit && cards_fit);
@@ -283,10 +284,14 @@
 static gint by_claim(gconstpointer a, gconstpointer b)
 {
     const job *x = *(job *const *)a, *y = *(job *const *)b;
+    if ((x->starved > 1) != (y->starved > 1))
+        return x->starved > 1 ? -1 : 1;
     if (x->guaranteed != y->guaranteed)
         return x->guaranteed ? -1 : 1;
     if (x->spec.urgency != y->spec.urgency)
         return x->spec.urgency < y->spec.urgency ? -1 : 1;
+    if (x->starved != y->starved)
+        return x->starved ? -1 : 1;
     if (x->doomed != y->doomed)
         return x->doomed ? 1 : -1;
     if (!x->doomed && x->work != y->work)
@@ -306,6 +311,17 @@
     j->counted = true;
 }
 
+/* Least work first makes large jobs late, and without end while small ones keep coming. So a job of
+ * which nothing has run yet precedes its equals after a while, and everything after a longer one,
+ * until its first task is placed: one task of one job at a time, so guarantees lose no more. */
+static unsigned starved(const mv_core *c, const job *j)
+{
+    double age = c->now - j->accepted_at;
+    if (j->n_placed || j->n_done || age < MV_STARVED_S || GUARD(STARVED, false))
+        return 0;
+    return age < MV_STARVED_MOST_S ? 1 : 2;
+}
+
 /* A job is guaranteed when it fits its team's share along with the team's earlier unfinished
  * jobs. */
 static void judge(mv_core *c, GPtrArray *jobs)
@@ -314,7 +330,7 @@
     g_ptr_array_sort(jobs, by_arrival);
     c->large_cores = 0;
     for (size_t i = 0; i < c->conf->n_teams; i++)
-        c->teams[i].soon_used = 0;
+        c->teams[i].soon_used = c->teams[i].held_cores = 0;
     for (guint i = 0; i < jobs->len; i++) {
         job *j = g_ptr_array_index(jobs, i);
         c->large_cores = MAX(c->large_cores, j->spec.cores);
@@ -323,6 +339,7 @@
         j->guaranteed = j->team->conf->cpus > 0 && sum[t] <= j->team->conf->cpus + MV_ROUNDING;
         double run = mv_job_guess(c, j);
         j->doomed = j->finish_by < c->now + run;
+        j->starved = starved(c, j);
         j->work = j->spec.cores * j->waiting->len * run;
         note_soon(j);
     }
@@ -356,11 +373,12 @@
 static void fill_from(mv_core *c, job *j)
 {
     bool cached;
+    unsigned least = j->starved > 1 && j->waiting->len ? j->waiting->len - 1 : 0;
     if (hopeless(c, j))
         return;
     g_autoptr(GArray) list = candidates(c, j, &cached);
     guint from = 0;
-    while (from < list->len && j->waiting->len) {
+    while (from < list->len && j->waiting->len > least) {
         const candidate *first = &g_array_index(list, candidate, from);
         if (cached && first->w.bytes == 0 && c->now < j->ready_at + image_wait(c, j, first->m))
             return; /* a machine that has the image may get room */
@@ -372,7 +390,7 @@
         bool any = true;
         while (any) {
             any = false;
-            for (guint i = from; i < to && j->waiting->len; i++) {
+            for (guint i = from; i < to && j->waiting->len > least; i++) {
                 machine *m = g_array_index(list, candidate, i).m;
                 if (!within_limit(j))
                     return;
@@ -384,10 +402,38 @@
         }
         from = to;
     }
-    if (j->waiting->len)
+    if (j->waiting->len > least)
         note_unplaced(c, j);
 }
 
+/* Where a starved job's task fits nowhere, the machine that comes closest takes nothing else until
+ * it does: small tasks would fill each gap that a large one waits for. */
+static void hold_room(mv_core *c, job *j)
+{
+    machine *best = NULL;
+    double best_lack = 0;
+    if (!j->starved || j->n_placed)
+        return;
+    if (!within_limit(j)) { /* the same for the limit of its team */
+        j->team->held_cores = MAX(j->team->held_cores, j->spec.cores);
+        return;
+    }
+    for (guint i = 0; i < c->open->len; i++) {
+        machine *m = g_ptr_array_index(c->open, i);
+        if (m->shard != j->home || !mv_allowed_on(c, j, m))
+            continue;
+        mv_room room = mv_coming_room(c, m);
+        double lack = MAX(j->spec.cores - room.cores, 0) + MAX(j->spec.ram_gb - room.ram, 0);
+        if (best && lack >= best_lack)
+            continue;
+        best = m;
+        best_lack = lack;
+    }
+    c->work += c->open->len;
+    if (best)
+        mv_promise(c, best, j);
+}
+
 /* Jobs of ours that wait, with what the order needs; `waiting` and `running` count tasks. */
 static GPtrArray *jobs_of_round(mv_core *c)
 {
@@ -436,6 +482,7 @@
         if (!j->waiting->len || c->now < j->backoff_until || perhaps_running(c, j))
             continue;
         fill_from(c, j);
+        hold_room(c, j);
         if (j->waiting->len && c->now >= j->next_preempt)
             mv_preempt_for(c, j);
     }
--- a/src/service/daemon.c
+++ b/src/service/daemon.c
@@ -364,7 +364,7 @@
         double began = steady(), now;
         g_autoptr(GBytes) body = mv_orders_pack(a->baton, a->tenure, a->orders);
         mv_http_answer answer;
-        mv_http_call("POST", a->address, N_COMMANDS, body, MV_COMMAND_TIMEOUT_MS, &answer);
+        mv_http_call("POST", a->address, N_COMMANDS, body, a->timeout_ms, &answer);
         mv_metrics_latency(MV_LAT_COMMAND, steady() - began);
         mv_metrics_status(MV_LAT_COMMAND, answer.status);
         gsize n;
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -10,7 +10,12 @@
 typedef struct {
     double crash, all_crash, state_cut, worker_cut, outage, die,
         machine_cut;      /* mean seconds between; 0: never */
+    double machine_deaf;  /* reports arrive, answers and commands do not */
+    double isolate;       /* a controller without state service and siblings, with its workers */
+    double blink;         /* controllers back within a fraction of a second, one or all */
+    double machine_blink; /* and machines */
     double lose, hold;    /* share of messages */
+    double copies;        /* share of reports that come again, seconds to minutes late */
     double cancel;        /* share of jobs */
     double until, settle; /* faults end; all must be done by */
     unsigned shards, jobs;
--- a/tests/standins.c
+++ b/tests/standins.c
@@ -283,6 +283,15 @@
     return true;
 }
 
+void st_worker_restart(st_worker *w, double now)
+{
+    g_ptr_array_set_size(w->tasks, 0);
+    w->tenure = 1;
+    w->tick = w->baton = 0;
+    w->lease_from = now;
+    w->changed = true;
+}
+
 int st_worker_command(st_worker *w, uint64_t baton, uint64_t tenure, const GArray *orders,
                       double now, st_facts facts, void *ctx)
 {
--- a/tests/standins.h
+++ b/tests/standins.h
@@ -48,8 +48,9 @@
 
 typedef struct {
     char id[MV_NAME_SIZE], address[64], hull[MV_NAME_SIZE];
-    bool spot, gone, stuck;  /* stuck: never boots */
+    bool spot, gone, stuck;             /* stuck: never boots */
     double rented_at, up_at, cut_until; /* cut: it works on, but nobody reaches it */
+    double deaf_until;                  /* its reports arrive, answers and commands do not */
     uint64_t tenure, tick, baton;
     double lease_from; /* when the last answered report was sent */
     double lease_s;
@@ -73,6 +74,8 @@
 /* A response to a report that was sent at `sent` in session `tenure`: whether it counted. */
 bool st_worker_answer(st_worker *w, uint64_t tenure, double sent, uint64_t baton,
                       const GArray *orders, double now, st_facts facts, void *ctx);
+/* The machine is back at once, its worker a new process that remembers nothing. */
+void st_worker_restart(st_worker *w, double now);
 /* POST /commands: 200 or 409. */
 int st_worker_command(st_worker *w, uint64_t baton, uint64_t tenure, const GArray *orders,
                       double now, st_facts facts, void *ctx);
--- a/tests/test_rules.c
+++ b/tests/test_rules.c
@@ -92,6 +92,84 @@
     expect_sound(&plan, 81, 6);
 }
 
+static const sim_plan DEAF = {.machine_deaf = 10,
+                              .crash = 60,
+                              .cancel = 0.1,
+                              .until = 150,
+                              .settle = 500,
+                              .shards = 1,
+                              .jobs = 30};
+
+/* Reports of a machine arrive, but neither answers nor commands reach it. */
+static void deaf_machines(void)
+{
+    sim_plan plan = DEAF;
+    expect_sound(&plan, 201, 6);
+    plan.shards = 3;
+    expect_sound(&plan, 211, 6);
+}
+
+static const sim_plan COPIES = {.copies = 0.3,
+                                .crash = 12,
+                                .die = 15,
+                                .machine_cut = 10,
+                                .cancel = 0.2,
+                                .until = 200,
+                                .settle = 500,
+                                .shards = 1,
+                                .jobs = 40};
+
+/* Copies of reports come seconds to minutes late, to controllers that restarted, to other holders
+ * and after the machine is gone. */
+static void late_copies(void)
+{
+    sim_plan plan = COPIES;
+    expect_sound(&plan, 221, 8);
+    plan.shards = 3;
+    plan.hold = plan.lose = 0.02;
+    expect_sound(&plan, 231, 8);
+}
+
+/* A controller loses the state service and the other controllers, but not its workers. */
+static void isolated(void)
+{
+    sim_plan plan = CALM;
+    plan.isolate = 20;
+    plan.settle = 400;
+    expect_sound(&plan, 241, 6);
+    plan.shards = 3;
+    plan.cancel = 0.4;
+    expect_sound(&plan, 251, 6);
+}
+
+/* Controllers and machines that are back within a fraction of a second, amid elections too. */
+static void blinks(void)
+{
+    sim_plan plan = CALM;
+    plan.blink = 6;
+    plan.settle = 400;
+    expect_sound(&plan, 261, 6);
+    plan.shards = 3;
+    plan.machine_blink = 8;
+    plan.copies = 0.1;
+    plan.settle = 600;
+    expect_sound(&plan, 271, 6);
+}
+
+/* All of it at once. */
+static void everything(void)
+{
+    sim_plan plan = ROUGH;
+    plan.shards = 3;
+    plan.machine_deaf = 30;
+    plan.isolate = 50;
+    plan.blink = 40;
+    plan.machine_blink = 40;
+    plan.copies = 0.1;
+    plan.settle = 1200;
+    expect_sound(&plan, 281, 8);
+}
+
 /* With a guard off, some seed must break the rule that the guard stands for. */
 static void expect_broken(mv_guard guard, const sim_plan *plan, const char *rule)
 {
@@ -132,6 +210,34 @@
     expect_broken(MV_GUARD_KIND, &CALM, "wrong_place");
 }
 
+static void guard_newer(void)
+{
+    expect_broken(MV_GUARD_NEWER, &COPIES, "ran_twice");
+}
+
+static void guard_own_token(void)
+{
+    expect_broken(MV_GUARD_OWN_TOKEN, &COPIES, "ran_twice");
+}
+
+static void guard_deaf(void)
+{
+    sim_plan plan = DEAF;
+    plan.machine_deaf = 3;
+    plan.crash = 0;
+    plan.settle = 100;
+    expect_broken(MV_GUARD_DEAF, &plan, "stuck");
+}
+
+static void guard_offer(void)
+{
+    sim_plan plan = ROUGH;
+    plan.shards = 3;
+    plan.hold = 0.2;
+    plan.jobs = 90;
+    expect_broken(MV_GUARD_OFFER, &plan, "ran_twice");
+}
+
 static void guard_all_done(void)
 {
     expect_broken(MV_GUARD_ALL_DONE, &CALM, "not_done");
@@ -148,6 +254,15 @@
     g_test_add_func("/rules/cut-from-workers", cut_from_workers);
     g_test_add_func("/rules/faulty-jobs", faulty_jobs);
     g_test_add_func("/rules/late-messages", late_messages);
+    g_test_add_func("/rules/deaf-machines", deaf_machines);
+    g_test_add_func("/rules/late-copies", late_copies);
+    g_test_add_func("/rules/isolated", isolated);
+    g_test_add_func("/rules/blinks", blinks);
+    g_test_add_func("/rules/everything", everything);
+    g_test_add_func("/guards/newer", guard_newer);
+    g_test_add_func("/guards/own-token", guard_own_token);
+    g_test_add_func("/guards/deaf", guard_deaf);
+    g_test_add_func("/guards/offer", guard_offer);
     g_test_add_func("/guards/rebuild", guard_rebuild);
     g_test_add_func("/guards/unknown-use", guard_unknown);
     g_test_add_func("/guards/limit", guard_limit);
