--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -746,8 +746,7 @@
         mv_txn_if(a, key, k->block_stamp);
         mv_txn_set(a, key, mv_block_pack(rest), false);
         g_snprintf(key, sizeof key, K_USED "%u/%u", from->index, p);
-        if (!GUARD(OFFER, false))
-            mv_txn_if(a, key, k->used_stamp);
+        mv_txn_if(a, key, k->used_stamp);
         ops++;
     }
     g_snprintf(key, sizeof key, K_BLOCK "%u/%u", to->index, room_in);
--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -18,7 +18,6 @@
     MV_GUARD_NEWER,     /* reports that are not newer prove nothing */
     MV_GUARD_OWN_TOKEN, /* reports under an older token do not tell what is on a machine */
     MV_GUARD_DEAF,      /* a machine that nothing reaches is given back though it reports */
-    MV_GUARD_OFFER,     /* a move holds only while the offer does */
     MV_GUARD_STARVED    /* age overtakes size */
 } mv_guard;
 
--- a/tests/test_rules.c
+++ b/tests/test_rules.c
@@ -229,15 +229,6 @@
     expect_broken(MV_GUARD_DEAF, &plan, "stuck");
 }
 
-static void guard_offer(void)
-{
-    sim_plan plan = ROUGH;
-    plan.shards = 3;
-    plan.hold = 0.2;
-    plan.jobs = 90;
-    expect_broken(MV_GUARD_OFFER, &plan, "ran_twice");
-}
-
 static void guard_all_done(void)
 {
     expect_broken(MV_GUARD_ALL_DONE, &CALM, "not_done");
@@ -262,7 +253,6 @@
     g_test_add_func("/guards/newer", guard_newer);
     g_test_add_func("/guards/own-token", guard_own_token);
     g_test_add_func("/guards/deaf", guard_deaf);
-    g_test_add_func("/guards/offer", guard_offer);
     g_test_add_func("/guards/rebuild", guard_rebuild);
     g_test_add_func("/guards/unknown-use", guard_unknown);
     g_test_add_func("/guards/limit", guard_limit);
--- a/tests/test_size.c
+++ b/tests/test_size.c
@@ -21,8 +21,13 @@
     uint64_t ticks[MACHINES];
     uint64_t baton[MACHINES];
     GArray *tasks[MACHINES]; /* mv_piece */
-    GHashTable *on;          /* "job/piece" of running tasks */
+    GHashTable *on;          /* "job/piece" of running tasks -> when it began */
     unsigned launches, commands;
+    unsigned machines;      /* how many there are */
+    double run_s, report_s; /* tasks end after this; 0: never */
+    unsigned next;
+    double first_start; /* of the job watched; 0: not yet */
+    const char *watched;
 } world;
 
 static void record(world *w, const char *key, GBytes *data)
@@ -94,10 +99,10 @@
 
 static void blocks(world *w)
 {
-    for (unsigned part = 0; part * 40 < MACHINES; part++) {
+    for (unsigned part = 0; part * 40 < w->machines; part++) {
         g_autoptr(GArray) members = g_array_new(FALSE, TRUE, sizeof(mv_member));
         mv_out *used = mv_out_new();
-        unsigned n = MIN(40, MACHINES - part * 40);
+        unsigned n = MIN(40, w->machines - part * 40);
         mv_put_map(used, 1);
         mv_put_text(used, R_MACHINES);
         mv_put_list(used, 2 * n);
@@ -183,7 +188,9 @@
             w->launches++;
             if (g_hash_table_contains(w->on, name))
                 g_error("ran_twice %s", name);
-            g_hash_table_add(w->on, g_strdup(name));
+            g_hash_table_insert(w->on, g_strdup(name), g_memdup2(&w->now, sizeof w->now));
+            if (w->watched && strcmp(o->job, w->watched) == 0 && w->first_start == 0)
+                w->first_start = w->now;
         } else if (o->verb == MV_STOP && at >= 0) {
             g_array_index(w->tasks[i], mv_piece, at).status = MV_ENDED;
             g_array_index(w->tasks[i], mv_piece, at).cause = MV_WHY_STOPPED;
@@ -195,8 +202,23 @@
     }
 }
 
+static void end_tasks(world *w, unsigned i)
+{
+    for (guint k = 0; w->run_s > 0 && k < w->tasks[i]->len; k++) {
+        mv_piece *p = &g_array_index(w->tasks[i], mv_piece, k);
+        g_autofree char *name = g_strdup_printf("%s/%u", p->job, p->piece);
+        const double *began = g_hash_table_lookup(w->on, name);
+        if (p->status == MV_ENDED || !began || w->now < *began + w->run_s)
+            continue;
+        p->status = MV_ENDED;
+        p->cause = MV_WHY_DONE;
+        g_hash_table_remove(w->on, name);
+    }
+}
+
 static void make_report(world *w, unsigned i, mv_report *r)
 {
+    end_tasks(w, i);
     memset(r, 0, sizeof *r);
     machine_id(i, r->host, sizeof r->host);
     g_snprintf(r->address, sizeof r->address, "10.1.0.1:%u", 1000 + i);
@@ -233,15 +255,16 @@
 
 static void pass(world *w, double seconds)
 {
-    static guint next;
+    double share = w->machines * 0.1 / w->report_s; /* reports in a tenth of a second */
+    double due = 0;
     for (double t = 0; t < seconds; t += 0.1) {
         w->now += 0.1;
         mv_core_session(w->core, w->now, 7, w->now);
         mv_core_followed(w->core, w->now, w->now);
         mv_core_tick(w->core, w->now, 1e6 + w->now);
         drain(w);
-        for (unsigned k = 0; k < MACHINES / 50; k++) { /* each reports every 5 s */
-            unsigned i = next++ % MACHINES;
+        for (due += share; due >= 1; due--) {
+            unsigned i = w->next++ % w->machines;
             mv_report r;
             mv_report_answer a;
             make_report(w, i, &r);
@@ -258,11 +281,26 @@
     }
 }
 
+static void make(world *w)
+{
+    w->on = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    for (unsigned i = 0; i < w->machines; i++)
+        w->tasks[i] = g_array_new(FALSE, TRUE, sizeof(mv_piece));
+}
+
+static void unmake(world *w)
+{
+    mv_core_free(w->core);
+    mv_settings_free(w->conf);
+    for (unsigned i = 0; i < w->machines; i++)
+        g_array_unref(w->tasks[i]);
+    g_hash_table_unref(w->on);
+}
+
 static void take_over(void)
 {
-    world w = {.on = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL)};
-    for (unsigned i = 0; i < MACHINES; i++)
-        w.tasks[i] = g_array_new(FALSE, TRUE, sizeof(mv_piece));
+    world w = {.machines = MACHINES, .report_s = 5};
+    make(&w);
     start(&w);
     grant(&w, 5);
     blocks(&w);
@@ -287,16 +325,56 @@
     mv_core_counts_get(w.core, &n);
     g_assert_cmpuint(n.running, ==, JOBS * PIECES);
     g_assert_cmpuint(w.commands - before, <, 2 * MACHINES);
-    mv_core_free(w.core);
-    mv_settings_free(w.conf);
-    for (unsigned i = 0; i < MACHINES; i++)
-        g_array_unref(w.tasks[i]);
-    g_hash_table_unref(w.on);
+    unmake(&w);
+}
+
+/* Small jobs always wait, more than the fleet can do; the first task of a large one must begin all
+ * the same. Seconds until it did; 0: never within the time. */
+static double wait_of_large_job(void)
+{
+    world w = {.machines = 4, .report_s = 0.5, .run_s = 20, .watched = "j-900000"};
+    make(&w);
+    start(&w);
+    grant(&w, 5);
+    blocks(&w);
+    mv_core_synced(w.core, w.now);
+    unsigned next = 0;
+    for (; next < 12; next++)
+        add_job(&w, next, 2);
+    pass(&w, 5);
+    double submitted = w.now;
+    add_job(&w, 900000, 32); /* takes a whole machine of the usual kind */
+    while (w.now < submitted + 400 && w.first_start == 0) {
+        for (int k = 0; k < 2; k++)
+            add_job(&w, next++, 2);
+        pass(&w, 5);
+    }
+    double waited = w.first_start > 0 ? w.first_start - submitted : 0;
+    unmake(&w);
+    return waited;
+}
+
+static void large_job_begins(void)
+{
+    double waited = wait_of_large_job();
+    g_test_message("the large job began after %.0f s", waited);
+    g_assert_cmpfloat(waited, >, 0);
+    g_assert_cmpfloat(waited, <, 240);
+}
+
+static void guard_starved(void)
+{
+    mv_broken_guard = MV_GUARD_STARVED;
+    double waited = wait_of_large_job();
+    mv_broken_guard = MV_GUARD_NONE;
+    g_assert_true(waited == 0 || waited > 240);
 }
 
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/size/take-over", take_over);
+    g_test_add_func("/size/large-job-begins", large_job_begins);
+    g_test_add_func("/size/guard-starved", guard_starved);
     return g_test_run();
 }
