--- a/src/constants.h
+++ b/src/constants.h
@@ -51,7 +51,7 @@
 #define MV_FETCH_STEP_S 0.5     /* differences in fetch time that matter */
 #define MV_SOON_S 20.0          /* start aims below this justify stopping other work */
 #define MV_PREEMPT_AT_ONCE 400u /* tasks of a job that room is made for in one round */
-#define MV_STARVED_S 75.0       /* a job of which nothing ran for this long precedes its equals */
+#define MV_STARVED_S 120.0       /* a job of which nothing ran for this long precedes its equals */
 #define MV_STARVED_MOST_S 150.0 /* and all others; 4 minutes are the rule */
 #define MV_RETRY_BASE_S 1.0     /* first pause after a task failed; doubles */
 #define MV_RETRY_MAX_S 30.0     /* longest pause: a job that fails everywhere costs little */
--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -412,7 +412,7 @@
 {
     machine *best = NULL;
     double best_lack = 0;
-    if (!j->starved || j->n_placed)
+    if (j->starved < 2 || j->n_placed)
         return;
     if (!within_limit(j)) { /* the same for the limit of its team */
         j->team->held_cores = MAX(j->team->held_cores, j->spec.cores);
