--- a/src/constants.h
+++ b/src/constants.h
@@ -51,7 +51,7 @@
 #define MV_FETCH_STEP_S 0.5     /* differences in fetch time that matter */
 #define MV_SOON_S 20.0          /* start aims below this justify stopping other work */
 #define MV_PREEMPT_AT_ONCE 400u /* tasks of a job that room is made for in one round */
-#define MV_STARVED_S 120.0       /* a job of which nothing ran for this long precedes its equals */
+#define MV_STARVED_S 120.0      /* a job of which nothing ran for this long precedes its equals */
 #define MV_STARVED_MOST_S 150.0 /* and all others; 4 minutes are the rule */
 #define MV_RETRY_BASE_S 1.0     /* first pause after a task failed; doubles */
 #define MV_RETRY_MAX_S 30.0     /* longest pause: a job that fails everywhere costs little */
@@ -75,13 +75,13 @@
 #define MV_PACE_FADE 0.025     /* per second: half forgotten in about 30 s */
 #define MV_TICK_S 0.1          /* how often time is told to the core */
 #define MV_WATCH_TICKS 4       /* ticks in which every machine is looked at once */
-#define MV_ASK_AFTER_S 1.2     /* a machine of a large fleet has this long to come by itself */
+#define MV_ASK_AFTER_S 1.0     /* a machine of a large fleet has this long to come by itself */
 #define MV_WATCH_LEAST 64u     /* machines looked at in one tick at least */
 #define MV_SILENT_REPORTS 2.0  /* report intervals without a word before nothing more is placed */
 #define MV_PROBE_REPORTS 1.5   /* and before the machine is asked directly */
 #define MV_LOST_REPORTS 2.5    /* and before it is given up, if it did not answer either */
 #define MV_LOST_ANYWAY_REPORTS 12.0 /* given up after this even if nobody at all is heard */
-#define MV_PROBES_FAILED 2          /* direct commands without an answer that make it lost */
+#define MV_PROBES_FAILED 2u         /* direct commands without an answer that make it lost */
 #define MV_DEAF_FAILS 3u            /* commands without an answer, while reports come */
 #define MV_DEAF_REPORTS 3.0         /* and for so many report intervals, that make it deaf */
 #define MV_MUTE_REPORTS 10.0        /* where most are deaf, we rather are mute: not before this */
@@ -119,14 +119,15 @@
 
 /* --- runtime --- */
 #define MV_STACK_BYTES (96 * 1024) /* thread stacks: hundreds must fit in the memory */
-#define MV_COMMAND_THREADS 12      /* direct commands in flight */
+#define MV_COMMAND_THREADS 24      /* direct commands in flight */
 #define MV_LANE_SLOW_S 0.1         /* a lane busy for longer is helped out by others */
-#define MV_COMMANDS_QUEUED 36u     /* and waiting for one of them: later ones say more */
+#define MV_COMMANDS_QUEUED 60u     /* and waiting for one of them: later ones say more */
 #define MV_STATE_CALLERS 8         /* requests of users and transactions at the state service */
 #define MV_TXN_THREADS 2           /* transactions in flight */
 #define MV_CLOUD_THREADS 2         /* cloud calls in flight: one may hang */
 #define MV_COMMAND_TIMEOUT_MS 1500 /* a direct command without an answer */
-#define MV_PROBE_TIMEOUT_MS 900    /* and one that carries no order: a dead machine holds up less */
+#define MV_PROBE_TIMEOUT_MS 400 /* and one that carries no order: a dead machine holds up less; */
+#define MV_PROBE_TIMEOUT_MOST 1200 /* longer each time, up to this */
 #define MV_STATE_TIMEOUT_MS 1500   /* a request to the state service without an answer */
 #define MV_SESSION_TIMEOUT_MS 700  /* a renewal without an answer is sent again */
 #define MV_STATE_TRIES 4           /* tries of a request that was over the limit */
@@ -151,7 +152,7 @@
 #define MV_ABORT_TRIES 4          /* a cancellation against a record that keeps changing */
 #define MV_RETRY_AFTER_S 1        /* seconds in Retry-After of a 503 */
 #define MV_MAX_ANSWER (8 * 1024 * 1024) /* bytes of an answer we read; watches have no limit */
-#define MV_CLIENT_CONNECTIONS 100       /* connections a thread keeps open: its lane's machines */
+#define MV_CLIENT_CONNECTIONS 60        /* connections a thread keeps open: its lane's machines */
 #define MV_CONNECT_TIMEOUT_MS 1000      /* nothing is further away than this */
 #define MV_MAX_FRAME (256 * 1024)       /* bytes of a message between controllers */
 #define MV_PEER_CONNECTIONS 64          /* connections from siblings, old ones included */
--- a/src/coordination/machines.c
+++ b/src/coordination/machines.c
@@ -636,7 +636,9 @@
     g_strlcpy(a->address, m->address, sizeof a->address);
     a->baton = mv_token(m);
     a->tenure = MAX(m->tenure, 1);
-    a->timeout_ms = orders->len ? MV_COMMAND_TIMEOUT_MS : MV_PROBE_TIMEOUT_MS;
+    a->timeout_ms = orders->len ? MV_COMMAND_TIMEOUT_MS
+                                : MIN(MV_PROBE_TIMEOUT_MS * (1 + m->deaf_fails),
+                                      (unsigned)MV_PROBE_TIMEOUT_MOST);
     a->orders = orders;
     m->command_id = a->id;
     m->command_at = c->now;
@@ -711,7 +713,8 @@
     /* Nothing new is placed there until something gets through, so it is asked again. */
     m->probe = true;
     mv_want_command(c, m);
-    m->no_command_until = c->now + MIN(0.5 * m->deaf_fails, c->conf->report_s);
+    double pause = (m->confirmed ? 0.5 : 0.2) * m->deaf_fails;
+    m->no_command_until = c->now + MIN(pause, c->conf->report_s);
     for (guint i = 0; i < m->placements->len; i++) {
         placement *p = g_ptr_array_index(m->placements, i);
         if (p->seen || !p->sent_direct)
@@ -816,9 +819,11 @@
         mv_want_command(c, m);
     }
     bool no_answer = m->proofs >= MV_PROBES_FAILED || !m->address[0];
-    /* After a take-over every machine is asked at once and all tasks known from before wait for
-     * the last answer: one more question instead of the wait for reports. */
-    bool no_trace = !m->confirmed && m->proofs > MV_PROBES_FAILED;
+    /* After a take-over every machine is asked and all tasks known from before wait for the last
+     * answer: one more question instead of the wait for reports, and not even that where there is
+     * no sign of it at all. A hundred dead machines once held up a take-over for 20 s. */
+    bool sign = m->heard_any_at > since;
+    bool no_trace = !m->confirmed && m->proofs >= MV_PROBES_FAILED + (sign ? 1u : 0u);
     bool lost = expected && c->now > c->late_until &&
                 ((no_answer && quiet > MV_LOST_REPORTS * interval) || no_trace ||
                  quiet > MV_LOST_ANYWAY_REPORTS * interval);
