--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -160,8 +160,8 @@
     shard *shard;                  /* where the jobs of a team with a limit or guarantee belong */
     double used_cores, used_cards; /* placements */
     double soon_used, soon_size;   /* by work that must start soon: now, and a usual job */
-    double stopping_cores;                 /* by tasks that were told to stop */
-    double promised_cores, held_cores;     /* within a round */
+    double stopping_cores;         /* by tasks that were told to stop */
+    double promised_cores, held_cores; /* within a round */
 };
 
 /* A block is stored in several records, for a value has a limit; each names some machines. */
@@ -196,6 +196,7 @@
     GArray *adds; /* mv_member */
     mv_demand *demand;
     double demand_got_at;
+    uint32_t needed;    /* within a round: types that some waiting job cannot do without */
     bool mute;          /* most of its machines hear nothing: it is rather our own line */
     bool unmet;         /* it wants machines that are neither there nor coming */
     unsigned passed_on; /* times in a row that its holder reached no machine */
--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -152,7 +152,8 @@
  * came to sit on every machine and tasks of a machine's size fitted nowhere, with half of the cores
  * free. */
 typedef struct {
-    bool last; /* slower than its fellows, or a task of this job failed there */
+    bool last;   /* slower than its fellows, or a task of this job failed there */
+    bool spared; /* of a type that others who wait cannot do without, and this job can */
     double bytes, fetch, left;
 } worth;
 
@@ -175,6 +176,7 @@
     bool failed_here =
         g_hash_table_size(m->failed_jobs) && g_hash_table_contains(m->failed_jobs, j->spec.id);
     worth w = {.last = mv_is_slow(m) || failed_here,
+               .spared = (j->home->needed >> m->type & 1) && (j->types & ~j->home->needed),
                .bytes = mv_has_image(m, j->image) ? MAX(j->spec.pull_gb, MV_ROUNDING) : 0};
     w.fetch = mv_starts_soon(c, j) ? mv_fetch_left(c, j, m) : 0;
     if (j->spec.cores < c->large_cores)
@@ -186,6 +188,8 @@
 {
     if (a->last != b->last)
         return b->last;
+    if (a->spared != b->spared)
+        return b->spared;
     if (a->bytes != b->bytes)
         return a->bytes > b->bytes;
     if (fabs(a->fetch - b->fetch) > MV_FETCH_STEP_S)
@@ -439,6 +443,8 @@
 {
     GPtrArray *jobs = g_ptr_array_new();
     c->counts.waiting = c->counts.running = 0;
+    for (guint i = 0; i < c->shards->len; i++)
+        ((shard *)g_ptr_array_index(c->shards, i))->needed = 0;
     GHashTableIter it;
     gpointer v;
     g_hash_table_iter_init(&it, c->jobs);
@@ -448,6 +454,9 @@
             continue;
         g_ptr_array_add(jobs, j);
         c->counts.waiting += j->waiting->len;
+        uint32_t types = mv_job_types(c, j);
+        if (j->waiting->len && types && !(types & (types - 1)))
+            j->home->needed |= types; /* the only one that takes it */
         c->counts.running += j->n_running;
     }
     return jobs;
