--- a/src/constants.h
+++ b/src/constants.h
@@ -108,6 +108,7 @@
 #define MV_FENCE_AFTER_S 10.0 /* launches without an answer are fenced off by a new term */
 #define MV_TOMB_S 60.0        /* a released machine is not adopted again from a late list */
 #define MV_BACKLOG_S 16.0     /* less waiting work than this, in time of the fleet, rents nothing */
+#define MV_BOOT_WORTH_S 15.0  /* for urgent work the price counts times boot time plus this */
 #define MV_LIST_EVERY_S 5.0   /* reading the cloud's machine list */
 #define MV_TYPES_EVERY_S 60.0 /* reading types and prices */
 #define MV_REFUSED_PAUSE_S 12.0 /* no new try of a type and kind that had no capacity */
--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -581,6 +581,8 @@
             for (int spot = w->spot ? 1 : 0; spot >= 0; spot--) {
                 g_autofree char *key = offer_key(t->name, t->yards[y], spot);
                 double price = (spot ? t->market : t->rate) / n;
+                /* What is urgent waits for the boot. */
+                price *= w->urgent ? MV_BOOT_WORTH_S + t->ready_s : 1;
                 if (g_hash_table_contains(c->refused, key) || (found && price >= out->price))
                     continue;
                 *out = (offer){.type = (int)i, .yard = t->yards[y], .spot = spot, .price = price};
