--- a/src/constants.h
+++ b/src/constants.h
@@ -158,6 +158,7 @@
 #define MV_MAX_FRAME (256 * 1024)       /* bytes of a message between controllers */
 #define MV_PEER_CONNECTIONS 64          /* connections from siblings, old ones included */
 #define MV_FINAL_CACHE 20000            /* finished jobs kept in memory, about 100 bytes each */
+#define MV_STATUS_MACHINES 60u          /* more than these are counted by kind, not listed */
 #define MV_LOG_REPEAT_S 5.0             /* a repeating message is printed once in this time */
 
 #endif
--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -340,6 +340,16 @@
     return (guint)CLAMP(n, MV_PART_LEAST, MV_PART_MOST);
 }
 
+static mv_member member_of(const mv_core *c, const machine *m, uint64_t term)
+{
+    mv_member b = {.loaners = m->loaners, .term = term, .at = m->rented_at + c->wall_offset};
+    g_strlcpy(b.id, m->id, sizeof b.id);
+    g_strlcpy(b.address, m->address, sizeof b.address);
+    g_strlcpy(b.hull, m->hull, sizeof b.hull);
+    g_strlcpy(b.yard, m->yard, sizeof b.yard);
+    return b;
+}
+
 /* The members of a part as they should be from now on. */
 static GArray *part_members(mv_core *c, const chunk *k, uint64_t *term)
 {
@@ -348,14 +358,9 @@
         const machine *m = g_ptr_array_index(k->members, i);
         if (m->buried)
             continue;
-        mv_member b = {
-            .loaners = m->loaners, .term = m->member_term, .at = m->rented_at + c->wall_offset};
+        mv_member b = member_of(c, m, m->member_term);
         if (fence_wanted(c, m))
             b.term = *term = c->term + 1; /* one new term fences off many */
-        g_strlcpy(b.id, m->id, sizeof b.id);
-        g_strlcpy(b.address, m->address, sizeof b.address);
-        g_strlcpy(b.hull, m->hull, sizeof b.hull);
-        g_strlcpy(b.yard, m->yard, sizeof b.yard);
         g_array_append_val(members, b);
     }
     return members;
@@ -731,12 +736,7 @@
             machine *m = g_ptr_array_index(moves, i);
             if (m->shard != from || m->chunk != p)
                 continue;
-            mv_member b = {
-                .loaners = m->loaners, .term = c->term + 1, .at = m->rented_at + c->wall_offset};
-            g_strlcpy(b.id, m->id, sizeof b.id);
-            g_strlcpy(b.address, m->address, sizeof b.address);
-            g_strlcpy(b.hull, m->hull, sizeof b.hull);
-            g_strlcpy(b.yard, m->yard, sizeof b.yard);
+            mv_member b = member_of(c, m, c->term + 1);
             g_array_append_val(arrived, b);
             m->moving = any = true;
             moved++;
--- a/src/service/status.c
+++ b/src/service/status.c
@@ -36,10 +36,53 @@
     }
 }
 
+typedef struct {
+    unsigned machines;
+    double pieces;
+} tally;
+
+static gint by_text(gconstpointer a, gconstpointer b)
+{
+    return strcmp(a, b);
+}
+
+/* A large fleet is counted by type, kind and status: nobody reads a thousand lines. */
+static void print_counts(const msgpack_object_array *list)
+{
+    char type[MV_NAME_SIZE], status[MV_NAME_SIZE];
+    g_autoptr(GHashTable) kinds = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    for (uint32_t i = 0; i < list->size; i++) {
+        const msgpack_object *m = &list->ptr[i];
+        bool spot = false;
+        mv_get_bool(m, N_LOANERS, &spot);
+        char *kind = g_strdup_printf("%-14s %-9s %-12s", text_of(m, N_HULL, type, sizeof type),
+                                     spot ? "spot" : "ordinary",
+                                     text_of(m, N_STATUS, status, sizeof status));
+        tally *t = g_hash_table_lookup(kinds, kind);
+        if (!t) {
+            t = g_new0(tally, 1);
+            g_hash_table_insert(kinds, g_strdup(kind), t);
+        }
+        t->machines++;
+        t->pieces += num_of(m, N_PIECES);
+        g_free(kind);
+    }
+    printf("\n%-14s %-9s %-12s %8s %6s\n", "TYPE", "KIND", "STATUS", "MACHINES", "TASKS");
+    g_autoptr(GList) names = g_list_sort(g_hash_table_get_keys(kinds), by_text);
+    for (const GList *l = names; l; l = l->next) {
+        const tally *t = g_hash_table_lookup(kinds, l->data);
+        printf("%s %8u %6.0f\n", (const char *)l->data, t->machines, t->pieces);
+    }
+}
+
 static void print_machines(const msgpack_object *root)
 {
     char id[MV_NAME_SIZE], type[MV_NAME_SIZE], status[MV_NAME_SIZE];
     const msgpack_object_array *list = mv_get_list(root, "machines");
+    if (list && list->size > MV_STATUS_MACHINES) {
+        print_counts(list);
+        return;
+    }
     printf("\n%-16s %-14s %-9s %-12s %8s %6s\n", "MACHINE", "TYPE", "KIND", "STATUS", "AGE_S",
            "TASKS");
     for (uint32_t i = 0; list && i < list->size; i++) {
@@ -55,18 +98,20 @@
 static void print_jobs(const msgpack_object *root)
 {
     char id[MV_NAME_SIZE], lane[MV_NAME_SIZE], crew[MV_NAME_SIZE], why[MV_NAME_SIZE];
+    char owner[MV_NAME_SIZE];
     const msgpack_object_array *list = mv_get_list(root, "jobs");
-    printf("\n%-14s %-18s %-20s %9s %8s %-5s %s\n", "JOB", "CLASS", "TEAM", "DONE", "AGE_S", "LATE",
-           "WAITS FOR");
+    printf("\n%-14s %-18s %-20s %9s %8s %-5s %-14s %s\n", "JOB", "CLASS", "TEAM", "DONE", "AGE_S",
+           "LATE", "OWNER", "WAITS FOR");
     for (uint32_t i = 0; list && i < list->size; i++) {
         const msgpack_object *j = &list->ptr[i];
         bool late = false;
         mv_get_bool(j, "late", &late);
         char done[32];
         snprintf(done, sizeof done, "%.0f/%.0f", num_of(j, N_DONE), num_of(j, N_PIECES));
-        printf("%-14s %-18s %-20s %9s %8.0f %-5s %s\n", text_of(j, N_ID, id, sizeof id),
+        printf("%-14s %-18s %-20s %9s %8.0f %-5s %-14s %s\n", text_of(j, N_ID, id, sizeof id),
                text_of(j, N_LANE, lane, sizeof lane), text_of(j, N_CREW, crew, sizeof crew), done,
-               num_of(j, N_AGE), late ? "LATE" : "", text_of(j, "why", why, sizeof why));
+               num_of(j, N_AGE), late ? "LATE" : "", text_of(j, "owner", owner, sizeof owner),
+               text_of(j, "why", why, sizeof why));
     }
 }
 
