--- a/src/constants.h
+++ b/src/constants.h
@@ -85,6 +85,8 @@
 #define MV_DEAF_FAILS 3u            /* commands without an answer, while reports come */
 #define MV_DEAF_REPORTS 3.0         /* and for so many report intervals, that make it deaf */
 #define MV_MUTE_REPORTS 10.0        /* where most are deaf, we rather are mute: not before this */
+#define MV_FIRST_TERM 1u            /* of the first leader that a state service ever sees */
+#define MV_FIRST_ADOPT_S 5.0        /* the first leader of all takes them up at once for so long */
 #define MV_KNOCKS 400u              /* machines in no block that are asked at once */
 #define MV_KNOCK_S 4.0              /* and again after this long */
 #define MV_HEARD_REPORTS 2.5        /* none heard of within this: it is rather we who are cut off */
--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -125,22 +125,27 @@
 
 /* --- idle machines for others ---
  *
- * A holder without waiting work offers idle machines when the leader says that others want some. An
- * offered machine gets no work. The leader moves it on condition that the record of its use still
- * has the stamp that the offer named; to take the offer back, the holder writes that record anew.
- * So no move, however late it is carried out, meets a machine that was put to work again. */
-
-static bool waits_for_machines(const mv_core *c, const shard *s)
+ * A holder offers idle machines that its own waiting work cannot use when the leader says that
+ * others want some. An offered machine gets no work. The leader moves it on condition that the
+ * record of its use still has the stamp that the offer named; to take the offer back, the holder
+ * writes that record anew. So no move, however late it is carried out, meets a machine that was put
+ * to work again. */
+
+/* Types of machine that waiting tasks of the shard could use: spot ones, and ordinary ones. */
+static void wanted_here(mv_core *c, const shard *s, uint32_t *spot, uint32_t *ordinary)
 {
     GHashTableIter it;
     gpointer v;
+    *spot = *ordinary = 0;
     g_hash_table_iter_init(&it, c->jobs);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const job *j = v;
-        if (j->team && j->home == s && rentable_count(j) > 0)
-            return true;
+        job *j = v;
+        if (!j->team || j->home != s || rentable_count(j) == 0)
+            continue;
+        uint32_t types = mv_job_types(c, j);
+        *ordinary |= types;
+        *spot |= j->spec.loaners ? types : 0;
     }
-    return false;
 }
 
 static bool may_offer(const mv_core *c, const machine *m)
@@ -150,18 +155,22 @@
            g_hash_table_size(m->sticky) == 0 && c->now - m->idle_since > MV_OFFER_IDLE_S;
 }
 
+/* Kept back are machines that a waiting task of ours could use, and a few for what comes next.
+ * While any waiting task kept back all, one that fitted only the larger type held up hundreds. */
 static void offer_machines(mv_core *c, shard *s)
 {
-    bool wanted = c->others_need_at > 0 && c->now < c->others_need_at + MV_DEMAND_OLD_S;
-    bool busy = waits_for_machines(c, s);
+    bool elsewhere = c->others_need_at > 0 && c->now < c->others_need_at + MV_DEMAND_OLD_S;
     unsigned keep = s->n_machines / MV_OFFER_KEEP + 1;
+    uint32_t spot, ordinary;
+    wanted_here(c, s, &spot, &ordinary);
     for (guint i = 0; i < c->turn->len; i++) {
         machine *m = g_ptr_array_index(c->turn, i);
-        if (m->shard != s)
+        if (m->shard != s || !mv_type_of(c, m))
             continue;
-        if (m->offer && (busy || !wanted)) {
+        bool here = (m->loaners ? spot : ordinary) >> m->type & 1;
+        if (m->offer && (here || !elsewhere)) {
             mv_chunk(s, m->chunk)->withdraw = true;
-        } else if (!m->offer && wanted && !busy && may_offer(c, m)) {
+        } else if (!m->offer && elsewhere && !here && may_offer(c, m)) {
             if (keep > 0)
                 keep--;
             else
@@ -997,6 +1006,7 @@
     if (lead != c->led) {
         fleet_lead_lost(c);
         c->led = lead;
+        c->led_since = c->now;
         mv_info("leader", "leads=%d term=%" G_GUINT64_FORMAT, lead, c->leader.term);
     }
     if (!lead)
--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -273,6 +273,7 @@
     double rebalanced_at;
     /* fleet */
     bool led; /* leading at the last tick */
+    double led_since;
     GPtrArray *rentals;
     GHashTable *refused; /* "hull/yard/kind" -> until */
     GHashTable *tombs;   /* released machines -> when */
--- a/src/coordination/machines.c
+++ b/src/coordination/machines.c
@@ -538,14 +538,21 @@
 static void ask_stranger(mv_core *c, const mv_report *r)
 {
     knock *k = g_hash_table_lookup(c->knocks, r->host);
+    mv_member b = {.loaners = r->loaners, .at = mv_wall(c)};
+    g_strlcpy(b.id, r->host, sizeof b.id);
+    g_strlcpy(b.address, r->address, sizeof b.address);
+    g_strlcpy(b.hull, r->hull, sizeof b.hull);
+    g_strlcpy(b.yard, r->yard, sizeof b.yard);
+    /* Nothing is older than the first leader; and until the fleet's size is seen there is one
+     * shard, which gets all the first jobs. */
+    if (c->leader.term == MV_FIRST_TERM && c->now < c->led_since + MV_FIRST_ADOPT_S) {
+        mv_fleet_adopt(c, &b);
+        return;
+    }
     if (k || g_hash_table_size(c->knocks) >= MV_KNOCKS || mv_fleet_buried(c, r->host))
         return;
     k = g_new0(knock, 1);
-    k->member = (mv_member){.loaners = r->loaners, .at = mv_wall(c)};
-    g_strlcpy(k->member.id, r->host, sizeof k->member.id);
-    g_strlcpy(k->member.address, r->address, sizeof k->member.address);
-    g_strlcpy(k->member.hull, r->hull, sizeof k->member.hull);
-    g_strlcpy(k->member.yard, r->yard, sizeof k->member.yard);
+    k->member = b;
     /* No token is lower than 0 and none is raised by it; there is nothing to carry out. */
     mv_action *a = mv_act(c, MV_ACT_COMMAND);
     g_strlcpy(a->machine, r->host, sizeof a->machine);
