--- a/tests/test_size.c
+++ b/tests/test_size.c
@@ -376,11 +376,102 @@
     g_assert_true(waited == 0 || waited > 240);
 }
 
+static uint64_t condition(const mv_action *a, const char *key)
+{
+    for (guint i = 0; i < a->conds->len; i++)
+        if (strcmp(g_array_index(a->conds, mv_cond, i).key, key) == 0)
+            return g_array_index(a->conds, mv_cond, i).stamp;
+    return 0;
+}
+
+static void shard_of(world *w, const char *key, const char *node, uint64_t inc, uint64_t term)
+{
+    mv_holder h = {.incarnation = inc, .term = term};
+    g_strlcpy(h.node, node, sizeof h.node);
+    h.teams = g_ptr_array_new();
+    g_ptr_array_add(h.teams, "a");
+    record(w, key, mv_holder_pack(&h));
+    g_ptr_array_unref(h.teams);
+}
+
+static mv_demand *offer_of(uint64_t term, uint64_t stamp)
+{
+    mv_demand *d = g_new0(mv_demand, 1);
+    g_strlcpy(d->node, "n1", sizeof d->node);
+    d->incarnation = 8;
+    d->term = term;
+    d->shard = 1;
+    d->wants = g_array_new(FALSE, TRUE, sizeof(mv_want));
+    d->notes = g_array_new(FALSE, TRUE, sizeof(mv_note));
+    mv_note n = {.up = true, .heard = true, .idle_s = 5, .offer = stamp};
+    g_strlcpy(n.id, "vm-000001", sizeof n.id);
+    g_array_append_val(d->notes, n);
+    return d;
+}
+
+/* A machine moves only while the record of its use, the grant of the block it leaves and both
+ * blocks are what they were when it was offered; a demand under an earlier grant offers nothing. */
+static void move_is_conditional(void)
+{
+    world w = {.machines = 0, .report_s = 1};
+    make(&w);
+    start(&w);
+    mv_holder lead = {.node = "n0", .incarnation = 7, .term = 3};
+    record(&w, K_TERM, mv_counter_pack(9));
+    record(&w, K_LEADER, mv_holder_pack(&lead));
+    record(&w, K_NODE "n0", mv_holder_pack(&lead));
+    mv_holder other = {.node = "n1", .incarnation = 8};
+    record(&w, K_NODE "n1", mv_holder_pack(&other));
+    shard_of(&w, K_SHARD "0", "n0", 7, 4);
+    shard_of(&w, K_SHARD "1", "n1", 8, 5);
+    uint64_t grant = w.stamp;
+    g_autoptr(GArray) members = g_array_new(FALSE, TRUE, sizeof(mv_member));
+    mv_member m = {.id = "vm-000001", .hull = "small", .yard = "z", .loaners = true, .at = 1e6};
+    g_array_append_val(members, m);
+    record(&w, K_BLOCK "1/0", mv_block_pack(members));
+    uint64_t block = w.stamp;
+    mv_out *used = mv_out_new();
+    mv_put_map(used, 1);
+    mv_put_text(used, R_MACHINES);
+    mv_put_list(used, 2);
+    mv_put_text(used, "vm-000001");
+    mv_put_text(used, "10.1.0.1:1001");
+    record(&w, K_USED "1/0", mv_out_take(used));
+    uint64_t use = w.stamp;
+    add_job(&w, 1, 16);
+    mv_core_synced(w.core, w.now);
+    unsigned moves = 0;
+    for (int i = 0; i < 40; i++) {
+        bool stale = i < 20; /* at first what was said under an earlier grant */
+        w.now += 0.1;
+        mv_core_session(w.core, w.now, 7, w.now);
+        mv_core_followed(w.core, w.now, w.now);
+        mv_core_demand(w.core, w.now, offer_of(stale ? 4 : 5, use));
+        mv_core_tick(w.core, w.now, 1e6 + w.now);
+        mv_action *a;
+        while ((a = mv_core_next(w.core))) {
+            if (a->kind == MV_ACT_TXN && condition(a, K_BLOCK "1/0")) {
+                g_assert_false(stale);
+                g_assert_cmpuint(condition(a, K_BLOCK "1/0"), ==, block);
+                g_assert_cmpuint(condition(a, K_USED "1/0"), ==, use);
+                g_assert_cmpuint(condition(a, K_SHARD "1"), ==, grant);
+                moves++;
+            }
+            if (a->kind == MV_ACT_RENT) /* nothing else is to be had */
+                mv_core_rent_done(w.core, w.now, a->id, NULL, true);
+            mv_action_free(a);
+        }
+    }
+    g_assert_cmpuint(moves, >, 0);
+    unmake(&w);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/size/take-over", take_over);
     g_test_add_func("/size/large-job-begins", large_job_begins);
     g_test_add_func("/size/guard-starved", guard_starved);
+    g_test_add_func("/size/move-is-conditional", move_is_conditional);
     return g_test_run();
 }
