--- a/tests/sim.c
+++ b/tests/sim.c
@@ -440,23 +440,17 @@
     later(s, rnd(s, 2, 8), call_back, c); /* the list lags */
 }
 
-static void clear_type(gpointer p)
-{
-    g_free(((mv_type *)p)->yards);
-}
-
 static GArray *the_types(void)
 {
-    GArray *types = g_array_new(FALSE, TRUE, sizeof(mv_type));
-    g_array_set_clear_func(types, clear_type);
-    mv_type t = {.cores = 16, .ram_gb = 64, .local_gb = 50, .pull_rate = 1, .ready_s = 10};
-    g_strlcpy(t.name, "big", sizeof t.name);
-    t.rate = 1;
-    t.market = 0.3;
-    t.n_yards = 1;
-    t.yards = g_malloc0(MV_NAME_SIZE);
-    g_strlcpy(t.yards[0], "z", MV_NAME_SIZE);
-    g_array_append_val(types, t);
+    GArray *types = st_types_new();
+    mv_type big = {.cores = 16,
+                   .ram_gb = 64,
+                   .local_gb = 50,
+                   .pull_rate = 1,
+                   .ready_s = 10,
+                   .rate = 1,
+                   .market = 0.3};
+    st_types_add(types, "big", big);
     return types;
 }
 
--- a/tests/standins.c
+++ b/tests/standins.c
@@ -130,6 +130,29 @@
     return 200;
 }
 
+/* --- cloud --- */
+
+static void clear_type(gpointer p)
+{
+    g_free(((mv_type *)p)->yards);
+}
+
+GArray *st_types_new(void)
+{
+    GArray *types = g_array_new(FALSE, TRUE, sizeof(mv_type));
+    g_array_set_clear_func(types, clear_type);
+    return types;
+}
+
+void st_types_add(GArray *types, const char *name, mv_type type)
+{
+    g_strlcpy(type.name, name, sizeof type.name);
+    type.n_yards = 1;
+    type.yards = g_malloc0(MV_NAME_SIZE);
+    g_strlcpy(type.yards[0], "z", MV_NAME_SIZE);
+    g_array_append_val(types, type);
+}
+
 /* --- workers --- */
 
 st_worker *st_worker_new(const char *id, const char *hull, bool spot, double lease_s)
--- a/tests/standins.h
+++ b/tests/standins.h
@@ -33,6 +33,11 @@
 /* 200, 409 or 400. */
 int st_txn(st_state *s, const GArray *conds, const GArray *changes, uint64_t hold);
 
+/* --- cloud --- */
+/* A list of machine types, for mv_core_types; each is to be had in zone "z" alone. */
+GArray *st_types_new(void);
+void st_types_add(GArray *types, const char *name, mv_type type);
+
 /* --- workers --- */
 typedef enum { ST_RUNNING, ST_ENDED } st_status;
 
--- a/tests/test_size.c
+++ b/tests/test_size.c
@@ -1,5 +1,7 @@
 /* The core at full size, without threads, sockets or clock: one controller takes over a fleet of
  * 1,500 machines with thousands of tasks. Work is bounded by counting, not by time. */
+#include "standins.h"
+
 #include "coordination/internal.h"
 
 #include "protocol/names.h"
@@ -62,33 +64,20 @@
     return c;
 }
 
-static void clear_type(gpointer p)
-{
-    g_free(((mv_type *)p)->yards);
-}
-
 static GArray *types(void)
 {
-    static const struct {
-        const char *name;
-        double cores, ram;
-    } kinds[] = {{"big", 64, 256}, {"small", 32, 64}};
-    GArray *out = g_array_new(FALSE, TRUE, sizeof(mv_type));
-    g_array_set_clear_func(out, clear_type);
-    for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++) {
-        mv_type t = {.cores = kinds[i].cores,
-                     .ram_gb = kinds[i].ram,
-                     .local_gb = 60,
-                     .pull_rate = 0.8,
-                     .rate = 1,
-                     .market = 0.3,
-                     .ready_s = 30,
-                     .n_yards = 1};
-        g_strlcpy(t.name, kinds[i].name, sizeof t.name);
-        t.yards = g_malloc0(MV_NAME_SIZE);
-        g_strlcpy(t.yards[0], "z", MV_NAME_SIZE);
-        g_array_append_val(out, t);
-    }
+    GArray *out = st_types_new();
+    mv_type t = {.cores = 64,
+                 .ram_gb = 256,
+                 .local_gb = 60,
+                 .pull_rate = 0.8,
+                 .rate = 1,
+                 .market = 0.3,
+                 .ready_s = 30};
+    st_types_add(out, "big", t);
+    t.cores = 32;
+    t.ram_gb = 64;
+    st_types_add(out, "small", t);
     return out;
 }
 
