No attempt is cleared while a command with its launch is under way; a starved job's first task stays

The simulation with slow commands also showed a starved job's first task stopped for others within a second, without end, and a machine returned as never booted while its token was being raised. Tests: size/late-launch (fails with the guard out), rules/slow-commands.

--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -63,8 +63,9 @@
                      .give_back = m->give_back || (m->faulty && !m->placements->len),
                      .lost = m->lost,
                      /* A holder that reaches no machine once took those that its predecessor
-                      * had used for machines that never booted. */
-                     .up = m->confirmed || mv_may_hold_tasks(m),
+                      * had used for machines that never booted, and one that waited for its
+                      * machine to show a raised token, that machine. */
+                     .up = m->heard_at > 0 || m->used,
                      .heard = heard_now,
                      .leaving = leaving,
                      .offer = m->offer};
--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -18,7 +18,8 @@
     MV_GUARD_NEWER,     /* reports that are not newer prove nothing */
     MV_GUARD_OWN_TOKEN, /* reports under an older token do not tell what is on a machine */
     MV_GUARD_DEAF,      /* a machine that nothing reaches is given back though it reports */
-    MV_GUARD_STARVED    /* age overtakes size */
+    MV_GUARD_STARVED,   /* age overtakes size */
+    MV_GUARD_IN_FLIGHT  /* no clear of an attempt whose launch is still under way */
 } mv_guard;
 
 #ifdef MV_BREAKABLE
@@ -59,6 +60,7 @@
     bool sent_direct;             /* a direct command with its launch was sent */
     bool unsettled;               /* ... and got no answer: it may still arrive */
     bool stopping;
+    bool kept;    /* the first task of a job that had starved: not stopped for others */
     bool adopted; /* found at a take-over: when it began is not known, and nothing learnt of it */
     double stop_sent_at;
 } placement;
@@ -85,8 +87,10 @@
     mv_room taken, ending; /* by all placements, and by those that were told to stop */
     unsigned strangers;    /* active pieces of unknown jobs */
     double sticky_since;
-    GHashTable *sticky; /* attempts that may still arrive: never cleared under this token */
-    GArray *images;     /* cached_image, most recently used last */
+    /* Attempts whose launch may still arrive: never cleared under this token. The value tells
+     * whether its command was given up (1) or is still under way (0). */
+    GHashTable *sticky;
+    GArray *images; /* cached_image, most recently used last */
     /* direct commands */
     uint64_t command_id; /* 0: none in flight */
     double command_at;
--- a/src/coordination/machines.c
+++ b/src/coordination/machines.c
@@ -250,7 +250,9 @@
         return;
     /* After a clear the worker would start a launch that still arrives late. */
     g_autofree char *key = attempt_key(piece->job, piece->piece, piece->attempt);
-    if (!g_hash_table_contains(m->sticky, key))
+    gpointer lost;
+    bool may_arrive = g_hash_table_lookup_extended(m->sticky, key, NULL, &lost);
+    if (!may_arrive || (!lost && GUARD(IN_FLIGHT, false)))
         add_order(orders, MV_CLEAR, piece, 0);
 }
 
@@ -636,6 +638,33 @@
 
 /* --- direct commands --- */
 
+/* Its launches may arrive at any time until it is answered, be it in the end or never. The same
+ * launch may have gone with an answer to a report meanwhile: once a task was begun, stopped and
+ * cleared that way while the command lay in our own queue for 13 s, and then begun once more. */
+static void mark_in_flight(const mv_core *c, machine *m, const GArray *orders)
+{
+    for (guint i = 0; i < orders->len; i++) {
+        const mv_order *o = &g_array_index(orders, mv_order, i);
+        if (o->verb != MV_LAUNCH)
+            continue;
+        if (g_hash_table_size(m->sticky) == 0)
+            m->sticky_since = c->now;
+        char *key = attempt_key(o->job, o->piece, o->attempt);
+        if (g_hash_table_contains(m->sticky, key))
+            g_free(key); /* an earlier copy may still arrive too */
+        else
+            g_hash_table_insert(m->sticky, key, GINT_TO_POINTER(0));
+    }
+}
+
+/* The command was answered: nothing of it is under way any more. */
+static gboolean arrived(gpointer key, gpointer lost, gpointer data)
+{
+    (void)key;
+    (void)data;
+    return !lost;
+}
+
 static void command(mv_core *c, machine *m, GArray *orders)
 {
     mv_action *a = mv_act(c, MV_ACT_COMMAND);
@@ -647,6 +676,7 @@
                                 : MIN(MV_PROBE_TIMEOUT_MS * (1 + m->deaf_fails),
                                       (unsigned)MV_PROBE_TIMEOUT_MOST);
     a->orders = orders;
+    mark_in_flight(c, m, orders);
     m->command_id = a->id;
     m->command_at = c->now;
     g_hash_table_insert(c->commands, &m->command_id, m);
@@ -712,8 +742,6 @@
      * counted during a cut, it had working machines given back as the cut ended. */
     if (m->shard && m->shard->heard_at > m->command_at && c->now > c->late_until)
         m->proofs++;
-    if (g_hash_table_size(m->sticky) == 0)
-        m->sticky_since = c->now;
     if (!m->deaf_since)
         m->deaf_since = c->now;
     m->deaf_fails++;
@@ -722,12 +750,13 @@
     mv_want_command(c, m);
     double pause = (m->confirmed ? 0.5 : 0.2) * m->deaf_fails;
     m->no_command_until = c->now + MIN(pause, c->conf->report_s);
+    GHashTableIter it;
+    g_hash_table_iter_init(&it, m->sticky);
+    while (g_hash_table_iter_next(&it, NULL, NULL))
+        g_hash_table_iter_replace(&it, GINT_TO_POINTER(1));
     for (guint i = 0; i < m->placements->len; i++) {
         placement *p = g_ptr_array_index(m->placements, i);
-        if (p->seen || !p->sent_direct)
-            continue;
-        p->unsettled = true;
-        g_hash_table_add(m->sticky, attempt_key(p->job, p->piece, p->attempt));
+        p->unsettled = p->unsettled || (!p->seen && p->sent_direct);
     }
 }
 
@@ -745,6 +774,7 @@
         return;
     }
     m->command_fails = 0;
+    g_hash_table_foreach_remove(m->sticky, arrived, NULL);
     delivered(m);
     if (!m->shard || !mv_holds(c, m->shard) || r->baton > mv_token(m))
         return;
--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -7,6 +7,17 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Least work first makes large jobs late, and without end while small ones keep coming. So a job of
+ * which nothing has run yet precedes its equals after a while, and everything after a longer one,
+ * until its first task is placed: one task of one job at a time, so guarantees lose no more. */
+static unsigned starved(const mv_core *c, const job *j)
+{
+    double age = c->now - j->accepted_at;
+    if (j->n_placed || j->n_done || age < MV_STARVED_S || GUARD(STARVED, false))
+        return 0;
+    return age < MV_STARVED_MOST_S ? 1 : 2;
+}
+
 void mv_note_placed(mv_core *c, machine *m, job *j, placement *p)
 {
     g_strlcpy(p->job, j->spec.id, sizeof p->job);
@@ -17,6 +28,8 @@
     p->ram_gb = j->spec.ram_gb;
     p->placed_at = c->now;
     p->of = j;
+    /* Stopped for others within a second, such a task was placed and stopped without end. */
+    p->kept = starved(c, j) > 1;
     mv_room_add(&m->taken, p, 1);
     p->team->used_cores += p->cores;
     p->team->used_cards += p->cards;
@@ -323,17 +336,6 @@
     j->counted = true;
 }
 
-/* Least work first makes large jobs late, and without end while small ones keep coming. So a job of
- * which nothing has run yet precedes its equals after a while, and everything after a longer one,
- * until its first task is placed: one task of one job at a time, so guarantees lose no more. */
-static unsigned starved(const mv_core *c, const job *j)
-{
-    double age = c->now - j->accepted_at;
-    if (j->n_placed || j->n_done || age < MV_STARVED_S || GUARD(STARVED, false))
-        return 0;
-    return age < MV_STARVED_MOST_S ? 1 : 2;
-}
-
 /* A job is guaranteed when it fits its team's share along with the team's earlier unfinished
  * jobs. */
 static void judge(mv_core *c, GPtrArray *jobs)
--- a/src/coordination/preemption.c
+++ b/src/coordination/preemption.c
@@ -42,7 +42,7 @@
     for (guint i = 0; i < m->placements->len; i++) {
         placement *p = g_ptr_array_index(m->placements, i);
         /* A launch that is still under way cannot be stopped for certain. */
-        if (!p->of || p->stopping || !p->seen || !may_stop(claimant, p->of))
+        if (!p->of || p->stopping || p->kept || !p->seen || !may_stop(claimant, p->of))
             continue;
         victim v = {.p = p, .lost = lost_work(c, p, p->of)};
         g_array_append_val(out, v);
@@ -176,7 +176,7 @@
             continue;
         for (guint k = 0; k < m->placements->len; k++) {
             placement *p = g_ptr_array_index(m->placements, k);
-            if (!p->of || p->team != j->team || p->stopping || !p->seen ||
+            if (!p->of || p->team != j->team || p->stopping || p->kept || !p->seen ||
                 p->cores < j->spec.cores || p->of->spec.urgency <= j->spec.urgency)
                 continue;
             own_victim x = {.m = m, .v = {.p = p, .lost = lost_work(c, p, p->of)}};
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -34,7 +34,7 @@
     int team;
     unsigned pieces;
     double cores, run_s;
-    bool spot, accepted, cancelled, fails;
+    bool spot, accepted, cancelled, fails, rush;
     double submit_at, cancel_at, cancelled_at;
     bool *completed;
 } sim_job;
@@ -132,7 +132,8 @@
 static bool only_crashes(const sim_plan *p)
 {
     return !p->hold && !p->lose && !p->state_cut && !p->worker_cut && !p->machine_cut &&
-           !p->outage && !p->machine_deaf && !p->isolate && !p->machine_blink && !p->copies;
+           !p->outage && !p->machine_deaf && !p->isolate && !p->machine_blink && !p->copies &&
+           !p->rush;
 }
 
 static void check_worker(sim *s, st_worker *w, GHashTable *on, double *used)
@@ -220,6 +221,7 @@
     mv_txn_outcome outcome;
     GArray *listed;
     uint64_t hold;
+    bool delayed;
 } call;
 
 static void drain(sim *s, node *n);
@@ -329,9 +331,23 @@
     g_free(lc);
 }
 
+static void do_command(sim *s, gpointer data);
+
+/* In a queue of the controller's own, or on a slow way: carried out and answered in the end. */
+static bool put_off(sim *s, call *c)
+{
+    if (c->delayed || !chance(s, s->plan->slow))
+        return false;
+    c->delayed = true;
+    later(s, rnd(s, 2, 15), do_command, c);
+    return true;
+}
+
 static void do_command(sim *s, gpointer data)
 {
     call *c = data;
+    if (put_off(s, c))
+        return;
     st_worker *w = worker_named(s, c->a->machine);
     bool reached = w && !w->gone && s->now >= w->up_at && s->now >= w->cut_until &&
                    s->now >= w->deaf_until && s->now >= c->n->worker_cut_until;
@@ -696,9 +712,12 @@
 
 static GBytes *job_record(const sim *s, const sim_job *j)
 {
-    mv_job spec = {.urgency = MV_STANDARD, .pieces = j->pieces, .cores = j->cores, .ram_gb = 1};
+    mv_job spec = {.urgency = j->rush ? MV_HIGH : MV_STANDARD,
+                   .pieces = j->pieces,
+                   .cores = j->cores,
+                   .ram_gb = 1};
     g_strlcpy(spec.id, j->id, sizeof spec.id);
-    g_strlcpy(spec.lane, "work", sizeof spec.lane);
+    g_strlcpy(spec.lane, j->rush ? "rush" : "work", sizeof spec.lane);
     g_strlcpy(spec.crew, TEAMS[j->team], sizeof spec.crew);
     g_strlcpy(spec.bundle, "img", sizeof spec.bundle);
     spec.loaners = j->spot;
@@ -772,6 +791,7 @@
         g_snprintf(j.id, sizeof j.id, "j-%06u", i + 1);
         j.cancel_at = chance(s, s->plan->cancel) ? rnd(s, 0.1, 40) : 0;
         j.fails = j.cancel_at > 0 && chance(s, 0.3);
+        j.rush = s->plan->rush > 0 && chance(s, s->plan->rush);
         j.completed = g_new0(bool, j.pieces);
         g_array_append_val(s->jobs, j);
         later(s, rnd(s, 0, s->plan->until * 0.8), submit, GUINT_TO_POINTER(i));
@@ -909,6 +929,10 @@
         c->teams[i].cpus = LIMITS[i] / 2;
         c->teams[i].cpus_max = LIMITS[i];
     }
+    c->n_objectives = 1;
+    c->objectives = g_new0(mv_objective, 1);
+    c->objectives[0] = (mv_objective){.kind = MV_OBJ_WAIT, .within_s = 2, .share = 0.9};
+    g_strlcpy(c->objectives[0].lane, "rush", MV_NAME_SIZE);
     c->report_s = 1;
     c->lease_s = 12;
     c->cancel_s = 30;
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -16,7 +16,9 @@
     double machine_blink; /* and machines */
     double lose, hold;    /* share of messages */
     double copies;        /* share of reports that come again, seconds to minutes late */
+    double slow;          /* share of commands that wait long before they are carried out */
     double cancel;        /* share of jobs */
+    double rush;          /* share of jobs for which others are stopped */
     double until, settle; /* faults end; all must be done by */
     unsigned shards, jobs;
 } sim_plan;
--- a/tests/test_rules.c
+++ b/tests/test_rules.c
@@ -95,6 +95,20 @@
     expect_sound(&plan, 81, 6);
 }
 
+/* Commands that wait for seconds before they are carried out, while reports and their answers go
+ * on; many tasks are stopped for others, so their attempts end and are cleared meanwhile. */
+static const sim_plan SLOW = {
+    .slow = 0.2, .rush = 0.4, .cancel = 0.1, .until = 150, .settle = 1500, .shards = 1, .jobs = 60};
+
+static void slow_commands(void)
+{
+    expect_sound(&SLOW, 301, 8);
+    sim_plan plan = ROUGH;
+    plan.slow = 0.2;
+    plan.shards = 3;
+    expect_sound(&plan, 311, 6);
+}
+
 static const sim_plan DEAF = {.machine_deaf = 10,
                               .crash = 60,
                               .cancel = 0.1,
@@ -251,6 +265,7 @@
     g_test_add_func("/rules/cut-from-workers", cut_from_workers);
     g_test_add_func("/rules/faulty-jobs", faulty_jobs);
     g_test_add_func("/rules/late-messages", late_messages);
+    g_test_add_func("/rules/slow-commands", slow_commands);
     g_test_add_func("/rules/deaf-machines", deaf_machines);
     g_test_add_func("/rules/late-copies", late_copies);
     g_test_add_func("/rules/isolated", isolated);
--- a/tests/test_size.c
+++ b/tests/test_size.c
@@ -30,6 +30,7 @@
     unsigned next;
     double first_start; /* of the job watched; 0: not yet */
     const char *watched;
+    GQueue *held; /* commands on their way, where these are looked at one by one */
 } world;
 
 static void record(world *w, const char *key, GBytes *data)
@@ -228,6 +229,10 @@
 {
     mv_action *a;
     while ((a = mv_core_next(w->core))) {
+        if (a->kind == MV_ACT_COMMAND && w->held) {
+            g_queue_push_tail(w->held, a);
+            continue;
+        }
         if (a->kind == MV_ACT_COMMAND) {
             unsigned i = (unsigned)g_ascii_strtoull(a->machine + 3, NULL, 10);
             mv_report r;
@@ -272,6 +277,39 @@
     }
 }
 
+/* One report of the only machine; how many orders of that kind for the job its answer holds. */
+static unsigned report_once(world *w, mv_verb verb, const char *job)
+{
+    mv_report r;
+    mv_report_answer a;
+    unsigned n = 0;
+    w->now += 1;
+    mv_core_session(w->core, w->now, 7, w->now);
+    mv_core_followed(w->core, w->now, w->now);
+    make_report(w, 0, &r);
+    mv_core_report(w->core, w->now, &r, &a);
+    g_assert_cmpint(a.status, ==, 200);
+    for (guint i = 0; i < a.orders->len; i++) {
+        const mv_order *o = &g_array_index(a.orders, mv_order, i);
+        n += o->verb == verb && strcmp(o->job, job) == 0;
+    }
+    obey(w, 0, a.orders);
+    g_array_unref(a.orders);
+    mv_report_clear(&r);
+    drain(w);
+    return n;
+}
+
+static bool launches(const mv_action *a, const char *job)
+{
+    for (guint i = 0; i < a->orders->len; i++) {
+        const mv_order *o = &g_array_index(a->orders, mv_order, i);
+        if (o->verb == MV_LAUNCH && strcmp(o->job, job) == 0)
+            return true;
+    }
+    return false;
+}
+
 static void make(world *w)
 {
     w->on = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -455,12 +493,73 @@
     unmake(&w);
 }
 
+/* A launch goes with the answer to a report, and a copy of it in a command that is long under way.
+ * Its task begins, fails and is placed anew; were its attempt cleared before the command is
+ * answered, the copy would begin it once more. Whether the attempt was cleared too early. */
+static bool cleared_early(void)
+{
+    world w = {.machines = 1, .report_s = 1};
+    make(&w);
+    start(&w);
+    grant(&w, 5);
+    blocks(&w);
+    mv_core_synced(w.core, w.now);
+    pass(&w, 3);
+    w.held = g_queue_new();
+    add_job(&w, 1, 0.1);
+    pass(&w, 0.5);
+    mv_action *first = g_queue_pop_head(w.held);
+    g_assert_true(first && launches(first, "j-000001"));
+    /* The worker carries it out, and its next report overtakes the answer. */
+    mv_report answer;
+    obey(&w, 0, first->orders);
+    make_report(&w, 0, &answer);
+    add_job(&w, 2, 0.1);
+    g_assert_cmpuint(report_once(&w, MV_LAUNCH, "j-000002"), >, 0);
+    mv_core_command_done(w.core, w.now, first->id, 200, &answer);
+    drain(&w);
+    mv_action *copy = g_queue_pop_head(w.held);
+    g_assert_true(copy && launches(copy, "j-000002"));
+    report_once(&w, MV_CLEAR, "j-000002"); /* shows them running */
+    for (guint i = 0; i < w.tasks[0]->len; i++) {
+        mv_piece *p = &g_array_index(w.tasks[0], mv_piece, i);
+        if (strcmp(p->job, "j-000002") != 0)
+            continue;
+        p->status = MV_ENDED;
+        p->cause = MV_WHY_ERROR;
+    }
+    bool early = report_once(&w, MV_CLEAR, "j-000002") > 0;
+    mv_report_clear(&answer);
+    make_report(&w, 0, &answer);
+    mv_core_command_done(w.core, w.now, copy->id, 200, &answer);
+    drain(&w);
+    g_assert_true(early || report_once(&w, MV_CLEAR, "j-000002") > 0);
+    mv_report_clear(&answer);
+    mv_action_free(first);
+    mv_action_free(copy);
+    while ((first = g_queue_pop_head(w.held)))
+        mv_action_free(first);
+    g_queue_free(w.held);
+    unmake(&w);
+    return early;
+}
+
+static void late_launch(void)
+{
+    g_assert_false(cleared_early());
+    mv_broken_guard = MV_GUARD_IN_FLIGHT;
+    bool early = cleared_early();
+    mv_broken_guard = MV_GUARD_NONE;
+    g_assert_true(early);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/size/take-over", take_over);
     g_test_add_func("/size/large-job-begins", large_job_begins);
     g_test_add_func("/size/guard-starved", guard_starved);
+    g_test_add_func("/size/late-launch", late_launch);
     g_test_add_func("/size/move-is-conditional", move_is_conditional);
     return g_test_run();
 }
