--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -123,6 +123,17 @@
     return MIN(at - c->wall_offset, c->now);
 }
 
+/* Names that are compared for every machine and task go by number within a process, from 1 on. */
+unsigned mv_number_of(GHashTable *names, const char *name)
+{
+    gpointer known = g_hash_table_lookup(names, name);
+    if (!known) {
+        known = GUINT_TO_POINTER(g_hash_table_size(names) + 1);
+        g_hash_table_insert(names, g_strdup(name), known);
+    }
+    return GPOINTER_TO_UINT(known);
+}
+
 /* A transaction in flight blocks a second try, but not for ever: its answer may be lost. */
 bool mv_pending(uint64_t *txn_id, double at, double now)
 {
@@ -192,6 +203,7 @@
     c->ending = g_hash_table_new(g_int64_hash, g_int64_equal);
     c->knocks = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     c->images = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    c->zones = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     c->open = g_ptr_array_new();
     c->silent = g_ptr_array_new();
     c->promised = g_ptr_array_new();
@@ -223,6 +235,7 @@
     g_hash_table_unref(c->ending);
     g_hash_table_unref(c->knocks);
     g_hash_table_unref(c->images);
+    g_hash_table_unref(c->zones);
     g_hash_table_unref(c->machines);
     g_hash_table_unref(c->jobs);
     g_hash_table_unref(c->nodes);
--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -18,6 +18,21 @@
     return n;
 }
 
+/* Where its next task has to be: the zone it asked for, or the one that its first task is in. */
+static const char *only_zone(const mv_core *c, const job *j)
+{
+    if (j->spec.has_yard)
+        return j->spec.yard;
+    GHashTableIter it;
+    gpointer name, number;
+    g_hash_table_iter_init(&it, c->zones);
+    while (j->spec.together && j->n_placed && g_hash_table_iter_next(&it, &name, &number))
+        if (GPOINTER_TO_UINT(number) < j->in_zone->len &&
+            g_array_index(j->in_zone, unsigned, GPOINTER_TO_UINT(number)) > 0)
+            return name;
+    return NULL;
+}
+
 static mv_demand *own_demand(mv_core *c, shard *s)
 {
     mv_demand *d = g_new0(mv_demand, 1);
@@ -43,8 +58,9 @@
                      .spot = j->spec.loaners,
                      .urgent = j->guaranteed || j->spec.urgency <= MV_HIGH,
                      .count = n};
-        if (j->spec.has_yard)
-            g_strlcpy(w.yard, j->spec.yard, sizeof w.yard);
+        const char *zone = only_zone(c, j);
+        if (zone)
+            g_strlcpy(w.yard, zone, sizeof w.yard);
         g_array_append_val(d->wants, w);
     }
     unsigned heard = 0, silent = 0, deaf = 0, confirmed = 0;
--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -12,6 +12,7 @@
     MV_GUARD_UNKNOWN,   /* silent machines count against a team's limit */
     MV_GUARD_LIMIT,     /* a team's limit */
     MV_GUARD_RELEASED,  /* a silent machine's tasks wait until it is gone for certain */
+    MV_GUARD_ZONE,      /* one zone, or at most half in one */
     MV_GUARD_KIND,      /* spot machines only for jobs that allow them */
     MV_GUARD_CANCELLED, /* tasks of cancelled jobs are stopped */
     MV_GUARD_ALL_DONE,  /* a job ends only with its last task */
@@ -73,6 +74,7 @@
     uint64_t member_term;
     shard *shard;   /* NULL once it is in no block */
     unsigned chunk; /* which record of the block names it */
+    unsigned zone;  /* number of its yard */
     guint at;       /* its place in the turn */
     int type;       /* index in types, -1 unknown */
     /* what reports say */
@@ -132,9 +134,10 @@
     uint64_t stamp;
     double accepted_at; /* steady */
     team *team;
-    shard *home;    /* named in its record: who holds that shard owns the job */
-    unsigned image; /* number of its bundle */
-    uint32_t types; /* machine types that allow it; valid while types_of is the core's */
+    shard *home;     /* named in its record: who holds that shard owns the job */
+    unsigned image;  /* number of its bundle */
+    GArray *in_zone; /* unsigned: its tasks placed in each zone, by number */
+    uint32_t types;  /* machine types that allow it; valid while types_of is the core's */
     const GArray *types_of;
     bool rush;        /* its class has an aim for the start */
     double rush_aim;  /* that aim, seconds; G_MAXDOUBLE: none */
@@ -250,6 +253,7 @@
     GHashTable *knocks;     /* name -> knock */
     GHashTable *ending;     /* id of a transaction that ends a job -> job */
     GHashTable *images;     /* bundle -> number */
+    GHashTable *zones;      /* yard -> number */
     GPtrArray *open;        /* within a round: machines that may take tasks, in turn */
     GPtrArray *silent;      /* within a round: machines that may hold unknown tasks */
     GPtrArray *promised;    /* machines with promises of this round */
@@ -307,6 +311,7 @@
 double mv_wall(const mv_core *c);
 double mv_from_wall(const mv_core *c, double at);
 void mv_settle(mv_core *c);
+unsigned mv_number_of(GHashTable *names, const char *name);
 bool mv_pending(uint64_t *txn_id, double at, double now);
 /* membership.c */
 void mv_membership_tick(mv_core *c);
@@ -340,6 +345,7 @@
 void mv_record_job(mv_core *c, const char *id, const msgpack_object *o, uint64_t stamp);
 void mv_record_progress(mv_core *c, const char *rest, const msgpack_object *o, uint64_t stamp);
 void mv_job_free(gpointer p);
+void mv_job_in_zone(job *j, const machine *m, int more);
 void mv_job_reset(mv_core *c, job *j);
 bool mv_job_mine(const mv_core *c, const job *j);
 void mv_task_done(mv_core *c, job *j, uint32_t piece);
--- a/src/coordination/jobs.c
+++ b/src/coordination/jobs.c
@@ -18,6 +18,7 @@
     g_free(j->chunk_dirty);
     g_free(j->chunk_stamp);
     g_array_unref(j->waiting);
+    g_array_unref(j->in_zone);
     g_free(j);
 }
 
@@ -25,6 +26,7 @@
 void mv_job_reset(mv_core *c, job *j)
 {
     g_array_set_size(j->waiting, 0);
+    g_array_set_size(j->in_zone, 0);
     j->n_placed = j->n_running = 0;
     for (uint32_t i = j->spec.pieces; i-- > 0;) {
         if (j->state[i] == T_PLACED)
@@ -36,14 +38,12 @@
     j->ready_at = c->now;
 }
 
-static unsigned image_number(mv_core *c, const char *bundle)
+/* One task more, or less, in the zone of a machine. */
+void mv_job_in_zone(job *j, const machine *m, int more)
 {
-    gpointer known = g_hash_table_lookup(c->images, bundle);
-    if (!known) {
-        known = GUINT_TO_POINTER(g_hash_table_size(c->images) + 1);
-        g_hash_table_insert(c->images, g_strdup(bundle), known);
-    }
-    return GPOINTER_TO_UINT(known);
+    if (j->in_zone->len <= m->zone)
+        g_array_set_size(j->in_zone, m->zone + 1);
+    g_array_index(j->in_zone, unsigned, m->zone) += (unsigned)more;
 }
 
 bool mv_aims_at_class(const mv_objective *o, mv_objective_kind kind, const job *j)
@@ -73,7 +73,8 @@
     j->spec = *spec; /* takes its list */
     j->stamp = stamp;
     j->home = mv_shard_get(c, home);
-    j->image = image_number(c, spec->bundle);
+    j->image = mv_number_of(c->images, spec->bundle);
+    j->in_zone = g_array_new(FALSE, TRUE, sizeof(unsigned));
     j->accepted_at = mv_from_wall(c, at);
     j->state = g_new0(uint8_t, spec->pieces);
     j->chunks = (spec->pieces + MV_CHUNK_TASKS - 1) / MV_CHUNK_TASKS;
--- a/src/coordination/machines.c
+++ b/src/coordination/machines.c
@@ -189,6 +189,7 @@
         m->idle_since = c->now;
     }
     if (j) {
+        mv_job_in_zone(j, m, -1);
         j->n_placed--;
         j->n_running -= p->running_at > 0;
         if (requeue && j->state[p->piece] == T_PLACED) {
--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -177,6 +177,7 @@
             g_strlcpy(m->address, b->address, sizeof m->address);
         g_strlcpy(m->hull, b->hull, sizeof m->hull);
         g_strlcpy(m->yard, b->yard, sizeof m->yard);
+        m->zone = mv_number_of(c->zones, b->yard);
         m->loaners = b->loaners;
         if (m->shard != s || m->chunk != part || m->member_term != b->term)
             enter_part(c, s, k, m, b, stamp);
--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -35,6 +35,7 @@
     p->team->used_cards += p->cards;
     g_ptr_array_add(m->placements, p);
     j->state[p->piece] = T_PLACED;
+    mv_job_in_zone(j, m, 1);
     j->n_placed++;
 }
 
@@ -100,24 +101,12 @@
 
 /* --- zones --- */
 
-static bool zone_ok(const mv_core *c, const job *j, const machine *m)
+static bool zone_ok(const job *j, const machine *m)
 {
-    if (!j->spec.together && !j->spec.apart)
+    if (GUARD(ZONE, !j->spec.together && !j->spec.apart))
         return true;
-    unsigned here = 0, elsewhere = 0;
-    for (guint i = 0; i < c->turn->len; i++) {
-        const machine *other = g_ptr_array_index(c->turn, i);
-        for (guint k = 0; k < other->placements->len; k++) {
-            const placement *p = g_ptr_array_index(other->placements, k);
-            if (strcmp(p->job, j->spec.id) != 0)
-                continue;
-            if (strcmp(other->yard, m->yard) == 0)
-                here++;
-            else
-                elsewhere++;
-        }
-    }
-    if (j->spec.together && elsewhere)
+    unsigned here = m->zone < j->in_zone->len ? g_array_index(j->in_zone, unsigned, m->zone) : 0;
+    if (j->spec.together && here < j->n_placed)
         return false;
     return !j->spec.apart || here + 1 <= (j->spec.pieces + 1) / 2;
 }
@@ -261,7 +250,7 @@
     for (guint k = 0; k < n; k++) {
         const machine *m = g_ptr_array_index(c->turn, (c->next_turn + k) % n);
         if (m->shard != j->home || !mv_usable(c, m) || c->now < m->no_room_until ||
-            !mv_allowed_on(c, j, m) || !has_room(c, j, m) || !zone_ok(c, j, m))
+            !mv_allowed_on(c, j, m) || !has_room(c, j, m) || !zone_ok(j, m))
             continue;
         worth w = worth_of(c, j, m);
         if (best && !better(&w, &best_worth))
@@ -410,7 +399,7 @@
         any = false;
         for (guint i = from; i < to; i++) {
             machine *m = g_array_index(list, candidate, i).m;
-            while (has_room(c, j, m) && zone_ok(c, j, m)) {
+            while (has_room(c, j, m) && zone_ok(j, m)) {
                 if (j->waiting->len <= least || !within_limit(j))
                     return false;
                 place(c, j, m);
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -34,7 +34,8 @@
     int team;
     unsigned pieces;
     double cores, run_s;
-    bool spot, accepted, cancelled, fails, rush;
+    bool spot, accepted, cancelled, fails, rush, together, apart;
+    unsigned in_z, in_y; /* of its tasks on machines, counted anew at each step */
     double submit_at, cancel_at, cancelled_at;
     bool *completed;
 } sim_job;
@@ -158,6 +159,7 @@
         if (!j)
             continue;
         used[j->team] += t->cores;
+        *(strcmp(w->yard, "z") == 0 ? &j->in_z : &j->in_y) += 1;
         if (!j->spot && w->spot)
             broken(s, "wrong_place %s on %s", t->job, w->id);
         if (j->cancelled && s->now > j->cancelled_at + s->nodes[0].conf->cancel_s)
@@ -169,8 +171,18 @@
 {
     g_autoptr(GHashTable) on = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     double used[3] = {0};
+    for (guint i = 0; i < s->jobs->len; i++) {
+        sim_job *j = &g_array_index(s->jobs, sim_job, i);
+        j->in_z = j->in_y = 0;
+    }
     for (guint i = 0; i < s->workers->len; i++)
         check_worker(s, g_ptr_array_index(s->workers, i), on, used);
+    for (guint i = 0; i < s->jobs->len; i++) {
+        const sim_job *j = &g_array_index(s->jobs, sim_job, i);
+        if ((j->together && j->in_z && j->in_y) ||
+            (j->apart && MAX(j->in_z, j->in_y) > (j->pieces + 1) / 2))
+            broken(s, "wrong_place %s: %u tasks in z, %u in y", j->id, j->in_z, j->in_y);
+    }
     for (int t = 0; t < 3; t++)
         if (LIMITS[t] > 0 && used[t] > LIMITS[t] + 1e-6)
             broken(s, "quota %s uses %.1f of %.0f", TEAMS[t], used[t], LIMITS[t]);
@@ -372,12 +384,15 @@
     later(s, c->has_report ? rnd(s, 0.001, 0.05) : 1.5, call_back, c);
 }
 
-static guint machines_alive(const sim *s)
+/* Whether one more is to be had there. */
+static bool capacity_left(const sim *s, const char *yard)
 {
-    guint n = 0;
-    for (guint i = 0; i < s->workers->len; i++)
-        n += !((st_worker *)g_ptr_array_index(s->workers, i))->gone;
-    return n;
+    guint n = 0, most = s->plan->small_zone;
+    for (guint i = 0; i < s->workers->len; i++) {
+        const st_worker *w = g_ptr_array_index(s->workers, i);
+        n += !w->gone && strcmp(w->yard, yard) == 0;
+    }
+    return n < (strcmp(yard, "y") == 0 ? most : CAPACITY - most);
 }
 
 static void rent_worker(sim *s, const mv_action *a, GPtrArray *names)
@@ -385,6 +400,7 @@
     g_autofree char *id = g_strdup_printf("vm-%06u", ++s->worker_names);
     st_worker *w = st_worker_new(id, a->hull, a->spot, s->nodes[0].conf->lease_s);
     g_strlcpy(w->address, id, sizeof w->address);
+    g_strlcpy(w->yard, a->yard, sizeof w->yard);
     w->rented_at = s->now;
     w->up_at = s->now + (chance(s, 0.05) ? 1e9 : rnd(s, 1, 15));
     w->lease_from = w->up_at;
@@ -399,12 +415,12 @@
 {
     call *c = data;
     GPtrArray *names = g_hash_table_lookup(s->hires, c->a->name);
-    if (!names && machines_alive(s) >= CAPACITY) {
+    if (!names && !capacity_left(s, c->a->yard)) {
         c->refused = true;
     } else if (!names) {
         names = g_ptr_array_new_with_free_func(g_free);
         g_hash_table_insert(s->hires, g_strdup(c->a->name), names);
-        for (unsigned i = 0; i < c->a->number && machines_alive(s) < CAPACITY; i++) {
+        for (unsigned i = 0; i < c->a->number && capacity_left(s, c->a->yard); i++) {
             rent_worker(s, c->a, names);
             later(s, rnd(s, 0, 0.2), worker_step,
                   g_ptr_array_index(s->workers, s->workers->len - 1));
@@ -450,13 +466,13 @@
         g_strlcpy(l.id, w->id, sizeof l.id);
         g_strlcpy(l.address, w->address, sizeof l.address);
         g_strlcpy(l.hull, w->hull, sizeof l.hull);
-        g_strlcpy(l.yard, "z", sizeof l.yard);
+        g_strlcpy(l.yard, w->yard, sizeof l.yard);
         g_array_append_val(c->listed, l);
     }
     later(s, rnd(s, 2, 8), call_back, c); /* the list lags */
 }
 
-static GArray *the_types(void)
+static GArray *the_types(const sim *s)
 {
     GArray *types = st_types_new();
     mv_type big = {.cores = 16,
@@ -467,6 +483,8 @@
                    .rate = 1,
                    .market = 0.3};
     st_types_add(types, "big", big);
+    if (s->plan->small_zone)
+        st_types_second_zone(types);
     return types;
 }
 
@@ -492,7 +510,7 @@
 {
     call *c = data;
     if (c->n->up && c->n->life == c->life) {
-        mv_core_types(c->n->core, local(s, c->n), the_types());
+        mv_core_types(c->n->core, local(s, c->n), the_types(s));
         drain(s, c->n);
     }
     call_free(c);
@@ -721,6 +739,8 @@
     g_strlcpy(spec.crew, TEAMS[j->team], sizeof spec.crew);
     g_strlcpy(spec.bundle, "img", sizeof spec.bundle);
     spec.loaners = j->spot;
+    spec.together = j->together;
+    spec.apart = j->apart;
     spec.guess_s = j->run_s;
     spec.due_s = -1;
     return mv_accepted_pack(&spec, (unsigned)j->team % MAX(s->plan->shards, 1), 1e6 + s->now);
@@ -791,6 +811,8 @@
         g_snprintf(j.id, sizeof j.id, "j-%06u", i + 1);
         j.cancel_at = chance(s, s->plan->cancel) ? rnd(s, 0.1, 40) : 0;
         j.fails = j.cancel_at > 0 && chance(s, 0.3);
+        j.together = s->plan->small_zone && chance(s, 0.3);
+        j.apart = s->plan->small_zone && !j.together && chance(s, 0.4);
         j.rush = s->plan->rush > 0 && chance(s, s->plan->rush);
         j.completed = g_new0(bool, j.pieces);
         g_array_append_val(s->jobs, j);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -21,6 +21,7 @@
     double rush;          /* share of jobs for which others are stopped */
     double until, settle; /* faults end; all must be done by */
     unsigned shards, jobs;
+    unsigned small_zone; /* machines to be had in a second zone; some jobs keep to one, or spread */
 } sim_plan;
 
 /* NULL when every rule held and all jobs came to their end; else what was broken. The caller
--- a/tests/standins.c
+++ b/tests/standins.c
@@ -153,6 +153,16 @@
     g_array_append_val(types, type);
 }
 
+void st_types_second_zone(GArray *types)
+{
+    for (guint i = 0; i < types->len; i++) {
+        mv_type *t = &g_array_index(types, mv_type, i);
+        t->n_yards = 2;
+        t->yards = g_realloc(t->yards, 2 * MV_NAME_SIZE);
+        g_strlcpy(t->yards[1], "y", MV_NAME_SIZE);
+    }
+}
+
 /* --- workers --- */
 
 st_worker *st_worker_new(const char *id, const char *hull, bool spot, double lease_s)
@@ -160,6 +170,7 @@
     st_worker *w = g_new0(st_worker, 1);
     g_strlcpy(w->id, id, sizeof w->id);
     g_strlcpy(w->hull, hull, sizeof w->hull);
+    g_strlcpy(w->yard, "z", sizeof w->yard);
     w->spot = spot;
     w->tenure = 1;
     w->lease_s = lease_s;
@@ -201,7 +212,7 @@
     g_strlcpy(out->host, w->id, sizeof out->host);
     g_strlcpy(out->address, w->address, sizeof out->address);
     g_strlcpy(out->hull, w->hull, sizeof out->hull);
-    g_strlcpy(out->yard, "z", sizeof out->yard);
+    g_strlcpy(out->yard, w->yard, sizeof out->yard);
     out->loaners = w->spot;
     out->tenure = w->tenure;
     out->tick = ++w->tick;
--- a/tests/standins.h
+++ b/tests/standins.h
@@ -34,9 +34,11 @@
 int st_txn(st_state *s, const GArray *conds, const GArray *changes, uint64_t hold);
 
 /* --- cloud --- */
-/* A list of machine types, for mv_core_types; each is to be had in zone "z" alone. */
+/* A list of machine types, for mv_core_types; each is to be had in zone "z" alone,
+ * or in "y" too. */
 GArray *st_types_new(void);
 void st_types_add(GArray *types, const char *name, mv_type type);
+void st_types_second_zone(GArray *types);
 
 /* --- workers --- */
 typedef enum { ST_RUNNING, ST_ENDED } st_status;
@@ -52,7 +54,7 @@
 } st_task;
 
 typedef struct {
-    char id[MV_NAME_SIZE], address[64], hull[MV_NAME_SIZE];
+    char id[MV_NAME_SIZE], address[64], hull[MV_NAME_SIZE], yard[MV_NAME_SIZE];
     bool spot, gone, stuck;             /* stuck: never boots */
     double rented_at, up_at, cut_until; /* cut: it works on, but nobody reaches it */
     double deaf_until;                  /* its reports arrive, answers and commands do not */
--- a/tests/test_rules.c
+++ b/tests/test_rules.c
@@ -109,6 +109,20 @@
     expect_sound(&plan, 311, 6);
 }
 
+/* Two zones, one of them small; jobs that keep to one zone and jobs that spread. */
+static void two_zones(void)
+{
+    sim_plan plan = CALM;
+    plan.small_zone = 4;
+    plan.jobs = 40;
+    plan.settle = 600;
+    expect_sound(&plan, 321, 4);
+    plan = ROUGH;
+    plan.small_zone = 5;
+    plan.shards = 3;
+    expect_sound(&plan, 331, 8);
+}
+
 static const sim_plan DEAF = {.machine_deaf = 10,
                               .crash = 60,
                               .cancel = 0.1,
@@ -227,6 +241,13 @@
     expect_broken(MV_GUARD_KIND, &CALM, "wrong_place");
 }
 
+static void guard_zone(void)
+{
+    sim_plan plan = CALM;
+    plan.small_zone = 5;
+    expect_broken(MV_GUARD_ZONE, &plan, "wrong_place");
+}
+
 static void guard_newer(void)
 {
     expect_broken(MV_GUARD_NEWER, &COPIES, "ran_twice");
@@ -265,6 +286,7 @@
     g_test_add_func("/rules/cut-from-workers", cut_from_workers);
     g_test_add_func("/rules/faulty-jobs", faulty_jobs);
     g_test_add_func("/rules/late-messages", late_messages);
+    g_test_add_func("/rules/two-zones", two_zones);
     g_test_add_func("/rules/slow-commands", slow_commands);
     g_test_add_func("/rules/deaf-machines", deaf_machines);
     g_test_add_func("/rules/late-copies", late_copies);
@@ -279,6 +301,7 @@
     g_test_add_func("/guards/limit", guard_limit);
     g_test_add_func("/guards/released", guard_released);
     g_test_add_func("/guards/kind", guard_kind);
+    g_test_add_func("/guards/zone", guard_zone);
     g_test_add_func("/guards/all-done", guard_all_done);
     return g_test_run();
 }
