--- a/src/bookkeeping/settings.c
+++ b/src/bookkeeping/settings.c
@@ -176,7 +176,8 @@
     s->cloud_rps = number(r, "settings.cloud.rps", 0.1, 1e6, NAN);
     s->list_lag_s = number(r, "settings.cloud.list_lag_s", 0, 3600, NAN);
     s->max_connections =
-        (unsigned)number(r, "settings.machine_limits.max_connections", 50, 1e6, 1000);
+        (unsigned)number(r, "settings.machine_limits.max_connections", 100, 1e6, 1000);
+    s->ram_mb = number(r, "settings.machine_limits.ram_mb", 24, 1e7, 128);
 }
 
 static const cyaml_schema_field_t tunable_fields[] = {
--- a/src/bookkeeping/settings.h
+++ b/src/bookkeeping/settings.h
@@ -65,6 +65,7 @@
     unsigned txn_ops;
     double cloud_rps, list_lag_s;
     unsigned max_connections;
+    double ram_mb;
     mv_tunables tune;
 } mv_settings;
 
--- a/src/constants.h
+++ b/src/constants.h
@@ -145,17 +145,22 @@
 #define MV_FOLLOW_MOST_MS 250  /* but at most this */
 #define MV_LISTEN_PATIENCE_S 5.0  /* without the records for this long, serve what can be served */
 #define MV_HTTP_BACKLOG 1024      /* connections that wait to be accepted */
-#define MV_HTTP_CONNECTIONS 2000  /* connections served at once: they fit the memory */
-#define MV_HTTP_SHARE 0.6         /* of all sockets, for connections that others open */
+#define MV_HTTP_SHARE 0.74        /* of all sockets, for connections that others open */
+#define MV_LANE_SHARE 0.18        /* and for those that direct commands keep open */
+#define MV_HTTP_CONNECTION_KB 16  /* memory of one connection that others open, with its request */
+#define MV_HTTP_RAM_SHARE 0.4     /* of the memory, for them */
+#define MV_HTTP_CROWDED 0.85      /* of them taken: workers' are ended after each answer */
 #define MV_REQUEST_ROUTINES 24    /* users' requests that wait for the state service at once */
 #define MV_REQUESTS_WAITING 200u  /* and those that wait for a routine; more are sent away */
 #define MV_HTTP_MEMORY (8 * 1024) /* bytes MHD keeps for one connection */
 #define MV_SHED_RETRY_S 2         /* seconds in Retry-After of a 429 */
-#define MV_CONNECTION_IDLE_S 120  /* seconds after which MHD ends an idle connection */
+#define MV_CONNECTION_REPORTS 4   /* report intervals after which an idle connection is ended */
+#define MV_CONNECTION_LEAST_S 15  /* but not before this: users ask every 5 s */
 #define MV_ABORT_TRIES 4          /* a cancellation against a record that keeps changing */
 #define MV_RETRY_AFTER_S 1        /* seconds in Retry-After of a 503 */
 #define MV_MAX_ANSWER (8 * 1024 * 1024) /* bytes of an answer we read; watches have no limit */
 #define MV_CLIENT_CONNECTIONS 60        /* connections a thread keeps open: its lane's machines */
+#define MV_CLIENT_LEAST 2               /* and at least, however few sockets there are */
 #define MV_CONNECT_TIMEOUT_MS 1000      /* nothing is further away than this */
 #define MV_MAX_FRAME (256 * 1024)       /* bytes of a message between controllers */
 #define MV_PEER_CONNECTIONS 64          /* connections from siblings, old ones included */
--- a/src/service/daemon.c
+++ b/src/service/daemon.c
@@ -798,6 +798,16 @@
     return ok;
 }
 
+/* What others may open: sockets are left for our own calls, and memory for all else. */
+static mv_http_limits http_limits(const mv_settings *conf)
+{
+    double by_sockets = conf->max_connections * MV_HTTP_SHARE;
+    double by_memory = conf->ram_mb * 1024 * MV_HTTP_RAM_SHARE / MV_HTTP_CONNECTION_KB;
+    return (mv_http_limits){
+        .connections = (unsigned)MIN(by_sockets, by_memory),
+        .idle_s = (unsigned)MAX(MV_CONNECTION_REPORTS * conf->report_s, MV_CONNECTION_LEAST_S)};
+}
+
 mv_daemon *mv_daemon_start(const mv_settings *conf, char *error, size_t error_size)
 {
     mv_daemon *d = g_new0(mv_daemon, 1);
@@ -819,11 +829,13 @@
     for (size_t i = 0; i < conf->n_siblings; i++)
         d->peers[i] = mv_peer_new(&conf->siblings[i].back);
     mv_core_tick(d->core, steady(), time_of_day()); /* records speak of the time of day */
-    mv_http_client_init();
+    mv_http_client_init((unsigned)CLAMP(conf->max_connections * MV_LANE_SHARE / MV_COMMAND_THREADS,
+                                        MV_CLIENT_LEAST, MV_CLIENT_CONNECTIONS));
     d->back = mv_peer_listen(&conf->back, on_peer, d);
     mv_http_handler handler = {
         .answer = on_http, .at_once = mv_route_at_once, .busy = on_busy, .ctx = d};
-    d->http = d->back ? mv_http_bind(&conf->listen, conf->max_connections, &handler) : NULL;
+    mv_http_limits limits = http_limits(conf);
+    d->http = d->back ? mv_http_bind(&conf->listen, &limits, &handler) : NULL;
     if (d->http && start_threads(d))
         return d;
     const mv_endpoint *bad = d->back ? &conf->listen : &conf->back;
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -23,8 +23,11 @@
 
 static GPrivate mine = G_PRIVATE_INIT(client_free);
 
-void mv_http_client_init(void)
+static unsigned kept_open;
+
+void mv_http_client_init(unsigned kept)
 {
+    kept_open = kept;
     curl_global_init(CURL_GLOBAL_NOTHING);
 }
 
@@ -52,7 +55,7 @@
     curl_easy_setopt(c->easy, CURLOPT_HTTPHEADER, c->headers);
     curl_easy_setopt(c->easy, CURLOPT_WRITEFUNCTION, collect);
     curl_easy_setopt(c->easy, CURLOPT_WRITEDATA, c->body);
-    curl_easy_setopt(c->easy, CURLOPT_MAXCONNECTS, (long)MV_CLIENT_CONNECTIONS);
+    curl_easy_setopt(c->easy, CURLOPT_MAXCONNECTS, (long)kept_open);
     curl_easy_setopt(c->easy, CURLOPT_PROXY, "");
     curl_easy_setopt(c->easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(c->easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -9,7 +9,8 @@
     GBytes *body; /* never NULL after a call; the caller clears */
 } mv_http_answer;
 
-void mv_http_client_init(void);
+/* Once, before any call; `kept` connections at most are kept open by a thread. */
+void mv_http_client_init(unsigned kept);
 /* `to` is "10.0.0.1:8080"; body may be NULL. Returns whether there was any answer. */
 bool mv_http_call(const char *method, const char *to, const char *path, GBytes *body,
                   unsigned timeout_ms, mv_http_answer *out);
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -15,7 +15,8 @@
     struct MHD_Daemon *mhd; /* NULL until it serves */
     int fd;
     uint16_t port;
-    unsigned limit;
+    mv_http_limits limits;
+    gint open; /* connections */
     mv_http_handler handler;
     pthread_mutex_t lock;
     pthread_cond_t filled;
@@ -38,7 +39,14 @@
 
 /* --- answers --- */
 
-static enum MHD_Result send_reply(struct MHD_Connection *con, request *q)
+/* Whether few connections are left. One controller may have to carry a whole fleet: workers once
+ * took every connection there was, and probes and users found none. */
+static bool crowded(mv_http_server *s)
+{
+    return (unsigned)g_atomic_int_get(&s->open) > MV_HTTP_CROWDED * s->limits.connections;
+}
+
+static enum MHD_Result send_reply(mv_http_server *s, struct MHD_Connection *con, request *q)
 {
     gsize n = 0;
     const void *data = q->reply.body ? g_bytes_get_data(q->reply.body, &n) : "";
@@ -54,6 +62,8 @@
         g_snprintf(seconds, sizeof seconds, "%d", q->reply.retry_after);
         MHD_add_response_header(r, MHD_HTTP_HEADER_RETRY_AFTER, seconds);
     }
+    if (q->at == READING && crowded(s))
+        MHD_add_response_header(r, MHD_HTTP_HEADER_CONNECTION, "close");
     enum MHD_Result result = MHD_queue_response(con, (unsigned)q->reply.status, r);
     MHD_destroy_response(r);
     return result;
@@ -136,7 +146,16 @@
         else
             s->handler.busy(method, path, &q->reply);
     }
-    return send_reply(con, q);
+    return send_reply(s, con, q);
+}
+
+static void on_connection(void *cls, struct MHD_Connection *con, void **slot,
+                          enum MHD_ConnectionNotificationCode what)
+{
+    mv_http_server *s = cls;
+    (void)con;
+    (void)slot;
+    g_atomic_int_add(&s->open, what == MHD_CONNECTION_NOTIFY_STARTED ? 1 : -1);
 }
 
 static void on_completed(void *cls, struct MHD_Connection *con, void **slot,
@@ -158,7 +177,7 @@
 
 /* --- life --- */
 
-mv_http_server *mv_http_bind(const mv_endpoint *at, unsigned max_connections,
+mv_http_server *mv_http_bind(const mv_endpoint *at, const mv_http_limits *limits,
                              const mv_http_handler *handler)
 {
     struct sockaddr_in addr = {.sin_family = AF_INET, .sin_port = htons(at->port)};
@@ -178,8 +197,7 @@
     s->fd = fd;
     s->port = at->port;
     s->handler = *handler;
-    /* Sockets are left over for our own calls. */
-    s->limit = MIN((unsigned)(max_connections * MV_HTTP_SHARE), MV_HTTP_CONNECTIONS);
+    s->limits = *limits;
     pthread_mutex_init(&s->lock, NULL);
     pthread_cond_init(&s->filled, NULL);
     return s;
@@ -220,8 +238,9 @@
         MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG, s->port, NULL,
         NULL, on_request, s, MHD_OPTION_EXTERNAL_LOGGER, on_log, NULL, MHD_OPTION_LISTEN_SOCKET,
         s->fd, MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL, MHD_OPTION_CONNECTION_LIMIT,
-        s->limit, MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)MV_CONNECTION_IDLE_S,
-        MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)MV_HTTP_MEMORY, MHD_OPTION_END);
+        s->limits.connections, MHD_OPTION_CONNECTION_TIMEOUT, s->limits.idle_s,
+        MHD_OPTION_NOTIFY_CONNECTION, on_connection, s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+        (size_t)MV_HTTP_MEMORY, MHD_OPTION_END);
     return s->mhd != NULL;
 }
 
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -27,8 +27,13 @@
     void *ctx;
 } mv_http_handler;
 
+typedef struct {
+    unsigned connections; /* served at once */
+    unsigned idle_s;      /* one that says nothing for so long is ended */
+} mv_http_limits;
+
 /* Takes the address; NULL when it cannot be had. Connections are refused until mv_http_serve. */
-mv_http_server *mv_http_bind(const mv_endpoint *at, unsigned max_connections,
+mv_http_server *mv_http_bind(const mv_endpoint *at, const mv_http_limits *limits,
                              const mv_http_handler *handler);
 bool mv_http_serve(mv_http_server *s);
 void mv_http_close(mv_http_server *s);
