A holder without its workers hands on within a report interval and gets no other block for a minute

Cause: the controller that had handed its block on held the fewest, so the next one was moved to it, and its machines lost their leases; and a holder of hundreds waited two and a half intervals to believe its own silence. Test: size/cut-holder fails without it.

--- a/src/constants.h
+++ b/src/constants.h
@@ -39,6 +39,7 @@
 #define MV_RECORD_PAUSE_S 1.0   /* between such records where a block has more parts */
 
 #define MV_RESIGN_S 8.0     /* a new holder gets this long to reach its machines */
+#define MV_SHUN_S 60.0      /* and then gets no other block for so long */
 #define MV_REBALANCE_S 10.0 /* pause between moves of shards to controllers that came back */
 
 /* --- placement, seconds --- */
@@ -90,6 +91,8 @@
 #define MV_KNOCKS 400u              /* machines in no block that are asked at once */
 #define MV_KNOCK_S 4.0              /* and again after this long */
 #define MV_HEARD_REPORTS 2.5        /* none heard of within this: it is rather we who are cut off */
+#define MV_HEARD_MANY 20u           /* where so many should report, */
+#define MV_HEARD_MANY_REPORTS 1.0   /* within this */
 #define MV_CLEAR_BATCH 8u           /* ended tasks of a machine that are cleared together */
 #define MV_CLEAR_AFTER_S 8.0        /* or as long after the last time; each time costs a report */
 #define MV_REFUSED_START_S 2.0      /* no new launch after a worker refused one: our view is old */
--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -213,6 +213,7 @@
     c->actions = g_queue_new();
     c->rentals = g_ptr_array_new_with_free_func(free_rental);
     c->refused = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    c->shunned = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     c->tombs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return c;
 }
@@ -245,6 +246,7 @@
     g_ptr_array_unref(c->rentals);
     g_hash_table_unref(c->refused);
     g_hash_table_unref(c->tombs);
+    g_hash_table_unref(c->shunned);
     g_clear_pointer(&c->list_seen, g_hash_table_unref);
     g_clear_pointer(&c->release_hosts, g_ptr_array_unref);
     g_clear_pointer(&c->types, g_array_unref);
--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -97,7 +97,12 @@
     /* Nobody answers us, or most hear nothing of us: it is rather we who are cut off than every
      * machine that died or went deaf. */
     s->mute = deaf > 0 && 2 * deaf > confirmed;
-    d->resign = (silent > 1 && heard == 0) || (s->mute && deaf > 1);
+    /* Where hundreds should report, one interval without any tells it as well as several. */
+    bool many_silent =
+        s->n_machines >= MV_HEARD_MANY &&
+        c->now > MAX(s->heard_at, s->taken_at) + MV_HEARD_MANY_REPORTS * c->conf->report_s;
+    bool unheard = silent > 1 && (heard == 0 || many_silent) && c->now > c->late_until;
+    d->resign = unheard || (s->mute && deaf > 1);
     return d;
 }
 
--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -279,6 +279,7 @@
     uint64_t progress_txn;
     double progress_txn_at;
     double rebalanced_at;
+    GHashTable *shunned; /* controllers that reached no machine -> until when they get no block */
     /* fleet */
     bool led; /* leading at the last tick */
     double led_since;
--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -274,12 +274,29 @@
     return n;
 }
 
-/* The live controller with the fewest shards; the leader itself on a tie, for then the fleet and
- * the placement need no messages. `extra` counts shards given in the same transaction. */
+/* A controller that just resigned a block would, with no block left, have been the first to get
+ * another, and kept its machines from everybody for as long again. */
+static void shun(mv_core *c, const char *node)
+{
+    double *until = g_new(double, 1);
+    *until = c->now + MV_SHUN_S;
+    g_hash_table_replace(c->shunned, g_strdup(node), until);
+}
+
+static bool is_shunned(const mv_core *c, const char *node)
+{
+    const double *until = g_hash_table_lookup(c->shunned, node);
+    return until && c->now < *until;
+}
+
+/* The live controller with the fewest shards, one that is not shunned first; the leader itself on a
+ * tie, for then the fleet and the placement need no messages. `extra` counts shards given in the
+ * same transaction. */
 static const node_entry *least_loaded(const mv_core *c, GHashTable *extra, const char *not_this)
 {
     const node_entry *best = NULL;
     unsigned best_load = 0;
+    bool best_shunned = false;
     GHashTableIter it;
     gpointer v;
     g_hash_table_iter_init(&it, c->nodes);
@@ -289,9 +306,13 @@
             continue;
         unsigned load = load_of(c, n->node) + GPOINTER_TO_UINT(g_hash_table_lookup(extra, n->node));
         bool me = strcmp(n->node, c->conf->node_name) == 0;
-        if (!best || load < best_load || (load == best_load && me)) {
+        bool shunned = is_shunned(c, n->node);
+        bool better =
+            shunned != best_shunned ? best_shunned : load < best_load || (load == best_load && me);
+        if (!best || better) {
             best = n;
             best_load = load;
+            best_shunned = shunned;
         }
     }
     return best;
@@ -412,7 +433,10 @@
                                                  : NULL;
         if (!to)
             continue;
-        s->passed_on += !dead && (int)i != moved;
+        if (!dead && (int)i != moved) {
+            s->passed_on++;
+            shun(c, s->holder.node);
+        }
         g_hash_table_insert(
             extra, (gpointer)to->node,
             GUINT_TO_POINTER(GPOINTER_TO_UINT(g_hash_table_lookup(extra, to->node)) + 1));
--- a/src/service/routes.c
+++ b/src/service/routes.c
@@ -432,8 +432,10 @@
         *r = other;
     }
     mv_latency which = p == P_SUBMIT ? MV_LAT_SUBMIT : p == P_POLL ? MV_LAT_POLL : MV_LAT_ABORT;
-    mv_metrics_latency(which, (double)(g_get_monotonic_time() - began) / 1e6);
+    double took = (double)(g_get_monotonic_time() - began) / 1e6;
+    mv_metrics_latency(which, took);
     mv_metrics_status(which, r->status);
+    mv_debug("user", "method=%s path=%s status=%d took_s=%.3f", method, path, r->status, took);
 }
 
 bool mv_route_at_once(const char *method, const char *path)
@@ -475,6 +477,4 @@
     default:
         users(d, p, method, path, body, size, r);
     }
-    if (p >= P_SUBMIT && p <= P_ABORT)
-        mv_debug("user", "method=%s path=%s status=%d", method, path, r->status);
 }
--- a/tests/test_size.c
+++ b/tests/test_size.c
@@ -553,6 +553,67 @@
     g_assert_true(early);
 }
 
+/* What a transaction writes comes back as records. */
+static void apply(world *w, const mv_action *a)
+{
+    for (guint i = 0; i < a->changes->len; i++) {
+        const mv_change *ch = &g_array_index(a->changes, mv_change, i);
+        record(w, ch->key, ch->data ? g_bytes_ref(ch->data) : NULL);
+    }
+    mv_core_txn_done(w->core, w->now, a->id, MV_TXN_OK);
+}
+
+static const char *holder_of(world *w, unsigned shard)
+{
+    return ((struct shard *)g_ptr_array_index(w->core->shards, shard))->holder.node;
+}
+
+/* A controller that reaches no machine hands its block on and gets no other for a while, though it
+ * holds the fewest. */
+static void cut_holder_is_left_out(void)
+{
+    world w = {.machines = 0, .report_s = 1};
+    make(&w);
+    start(&w);
+    mv_holder lead = {.node = "n0", .incarnation = 7, .term = 3};
+    record(&w, K_TERM, mv_counter_pack(9));
+    record(&w, K_LEADER, mv_holder_pack(&lead));
+    for (uint64_t i = 0; i < 3; i++) {
+        mv_holder h = {.incarnation = 7 + i};
+        char key[MV_KEY_SIZE];
+        g_snprintf(h.node, sizeof h.node, "n%u", (unsigned)i);
+        g_snprintf(key, sizeof key, K_NODE "%s", h.node);
+        record(&w, key, mv_holder_pack(&h));
+        g_snprintf(key, sizeof key, K_SHARD "%u", (unsigned)i);
+        shard_of(&w, key, h.node, 7 + i, 4 + i);
+    }
+    mv_core_synced(w.core, w.now);
+    bool handed_on = false;
+    for (int i = 0; i < 500; i++) {
+        w.now += 0.1;
+        mv_core_session(w.core, w.now, 7, w.now);
+        mv_core_followed(w.core, w.now, w.now);
+        if (!handed_on) {
+            mv_demand *d = offer_of(5, 0);
+            d->resign = true;
+            g_array_set_size(d->notes, 0);
+            mv_core_demand(w.core, w.now, d);
+        }
+        mv_core_tick(w.core, w.now, 1e6 + w.now);
+        mv_action *a;
+        while ((a = mv_core_next(w.core))) {
+            if (a->kind == MV_ACT_TXN)
+                apply(&w, a);
+            mv_action_free(a);
+        }
+        handed_on = handed_on || strcmp(holder_of(&w, 1), "n1") != 0;
+        for (unsigned s = 0; s < 3 && handed_on; s++)
+            g_assert_cmpstr(holder_of(&w, s), !=, "n1");
+    }
+    g_assert_true(handed_on);
+    unmake(&w);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -560,6 +621,7 @@
     g_test_add_func("/size/large-job-begins", large_job_begins);
     g_test_add_func("/size/guard-starved", guard_starved);
     g_test_add_func("/size/late-launch", late_launch);
+    g_test_add_func("/size/cut-holder", cut_holder_is_left_out);
     g_test_add_func("/size/move-is-conditional", move_is_conditional);
     return g_test_run();
 }
