What a process that stood still had decided is void: asked again right before it is carried out

Commands are sent only while their machine's shard is held under the same token and for four seconds after they were decided, cloud requests only while we lead. Tests: rules/frozen (2 to 45 s, with held and slow messages), guard-stands fails without it.

--- a/src/constants.h
+++ b/src/constants.h
@@ -131,6 +131,7 @@
 #define MV_STATE_CALLERS 8         /* requests of users and transactions at the state service */
 #define MV_TXN_THREADS 2           /* transactions in flight */
 #define MV_CLOUD_THREADS 2         /* cloud calls in flight: one may hang */
+#define MV_COMMAND_FRESH_S 4.0     /* a command that waited longer here is made anew */
 #define MV_COMMAND_TIMEOUT_MS 1500 /* a direct command without an answer */
 #define MV_PROBE_TIMEOUT_MS 400 /* and one that carries no order: a dead machine holds up less; */
 #define MV_PROBE_TIMEOUT_MOST 1200 /* longer each time, up to this */
--- a/src/coordination/core.h
+++ b/src/coordination/core.h
@@ -109,6 +109,11 @@
 } mv_report_answer;
 
 void mv_core_report(mv_core *core, double now, const mv_report *report, mv_report_answer *answer);
+/* Whether an action that was decided earlier still stands. Asked right before it is carried out:
+ * the process may have stood still since, longer than all its leases. */
+bool mv_core_stands(mv_core *core, double now, const mv_action *a);
+/* A command that did not stand and was not sent. */
+void mv_core_command_void(mv_core *core, double now, uint64_t id);
 /* How a command ended: an HTTP status with the worker's report, or 0 without an answer. */
 void mv_core_command_done(mv_core *core, double now, uint64_t id, int status,
                           const mv_report *report);
--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -19,6 +19,7 @@
     MV_GUARD_NEWER,     /* reports that are not newer prove nothing */
     MV_GUARD_OWN_TOKEN, /* reports under an older token do not tell what is on a machine */
     MV_GUARD_DEAF,      /* a machine that nothing reaches is given back though it reports */
+    MV_GUARD_STANDS,    /* nothing decided under a lease that is over is carried out */
     MV_GUARD_STARVED,   /* age overtakes size */
     MV_GUARD_IN_FLIGHT  /* no clear of an attempt whose launch is still under way */
 } mv_guard;
--- a/src/coordination/machines.c
+++ b/src/coordination/machines.c
@@ -761,6 +761,44 @@
     }
 }
 
+static bool command_stands(mv_core *c, const mv_action *a)
+{
+    const machine *m = g_hash_table_lookup(c->commands, &a->id);
+    if (!m) /* a question to a machine in no block, or an earlier term's command */
+        return mv_leads(c) && g_hash_table_find(c->knocks, knock_answered, (gpointer)&a->id);
+    return m->shard && mv_holds(c, m->shard) && a->baton == mv_token(m) &&
+           c->now < m->command_at + MV_COMMAND_FRESH_S;
+}
+
+bool mv_core_stands(mv_core *c, double now, const mv_action *a)
+{
+    c->now = MAX(c->now, now);
+    if (a->kind == MV_ACT_COMMAND)
+        return GUARD(STANDS, command_stands(c, a));
+    bool leaders = a->kind == MV_ACT_RENT || a->kind == MV_ACT_RELEASE;
+    return GUARD(STANDS, !leaders || mv_leads(c));
+}
+
+void mv_core_command_void(mv_core *c, double now, uint64_t id)
+{
+    c->now = MAX(c->now, now);
+    machine *m = g_hash_table_lookup(c->commands, &id);
+    if (!m) {
+        stranger_answered(c, id, NULL);
+        return;
+    }
+    forget_command(c, m);
+    g_hash_table_foreach_remove(m->sticky, arrived, NULL);
+    for (guint i = 0; i < m->placements->len; i++) {
+        placement *p = g_ptr_array_index(m->placements, i);
+        p->sent_direct = p->sent_direct && (p->seen || p->unsettled);
+        p->stop_sent_at = 0;
+    }
+    m->probe = true;
+    mv_want_command(c, m);
+    mv_settle(c);
+}
+
 void mv_core_command_done(mv_core *c, double now, uint64_t id, int status, const mv_report *r)
 {
     c->now = MAX(c->now, now);
--- a/src/service/daemon.c
+++ b/src/service/daemon.c
@@ -353,6 +353,21 @@
     return NULL;
 }
 
+/* A process that stood still wakes up with actions in its queues, and in the hands of its routines,
+ * that were decided under leases which are over. */
+static bool stands(mv_daemon *d, const mv_action *a)
+{
+    double now;
+    mv_core *core = mv_daemon_enter(d, &now);
+    bool yes = mv_core_stands(core, now, a);
+    if (!yes && a->kind == MV_ACT_COMMAND)
+        mv_core_command_void(core, now, a->id);
+    mv_daemon_leave(d);
+    if (!yes)
+        mv_log_limited(MV_LOG_INFO, "void", "kind=%d machine=%s", a->kind, a->machine);
+    return yes;
+}
+
 static void *command_routine(void *arg)
 {
     mv_daemon *d = arg;
@@ -361,6 +376,10 @@
     lane *own = &d->lanes[d->next_lane++];
     pthread_mutex_unlock(&d->lock);
     while ((a = take_command(d, own))) {
+        if (!stands(d, a)) {
+            mv_action_free(a);
+            continue;
+        }
         double began = steady(), now;
         g_autoptr(GBytes) body = mv_orders_pack(a->baton, a->tenure, a->orders);
         mv_http_answer answer;
@@ -448,8 +467,11 @@
         const char *method;
         double began = steady(), now;
         g_autoptr(GBytes) body = cloud_request(a, &method, path, sizeof path);
-        mv_http_answer answer;
-        mv_http_call(method, d->cloud_at, path, body, MV_CLOUD_TIMEOUT_MS, &answer);
+        mv_http_answer answer = {0};
+        if (stands(d, a))
+            mv_http_call(method, d->cloud_at, path, body, MV_CLOUD_TIMEOUT_MS, &answer);
+        else
+            answer.body = g_bytes_new(NULL, 0);
         mv_metrics_latency(MV_LAT_CLOUD, steady() - began);
         mv_metrics_status(MV_LAT_CLOUD, answer.status);
         gsize n;
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -26,7 +26,7 @@
     uint64_t hold, incarnation;
     bool session, listed;
     guint followed; /* log items seen */
-    double state_cut_until, worker_cut_until, peer_cut_until, back_at, renew_at;
+    double state_cut_until, worker_cut_until, peer_cut_until, back_at, renew_at, frozen_until;
 } node;
 
 typedef struct {
@@ -249,10 +249,21 @@
     g_free(c);
 }
 
+/* What its controller does while that stands still happens when it goes on. */
+static bool put_off_frozen(sim *s, node *n, event_fn fn, gpointer data)
+{
+    if (s->now >= n->frozen_until)
+        return false;
+    later(s, n->frozen_until - s->now + rnd(s, 0, 0.05), fn, data);
+    return true;
+}
+
 static void call_back(sim *s, gpointer data)
 {
     call *c = data;
     node *n = c->n;
+    if (put_off_frozen(s, n, call_back, c))
+        return;
     if (n->up && n->life == c->life) {
         double now = local(s, n);
         switch (c->a->kind) {
@@ -358,8 +369,14 @@
 static void do_command(sim *s, gpointer data)
 {
     call *c = data;
-    if (put_off(s, c))
+    if (put_off(s, c) || put_off_frozen(s, c->n, do_command, c))
+        return;
+    if (c->n->up && c->n->life == c->life && !mv_core_stands(c->n->core, local(s, c->n), c->a)) {
+        mv_core_command_void(c->n->core, local(s, c->n), c->a->id);
+        drain(s, c->n);
+        call_free(c);
         return;
+    }
     st_worker *w = worker_named(s, c->a->machine);
     bool reached = w && !w->gone && s->now >= w->up_at && s->now >= w->cut_until &&
                    s->now >= w->deaf_until && s->now >= c->n->worker_cut_until;
@@ -411,9 +428,20 @@
 
 static void worker_step(sim *s, gpointer data);
 
+/* Whether the leader still is one when the request goes out; if not, it gets no answer. */
+static bool request_stands(sim *s, call *c)
+{
+    if (!c->n->up || c->n->life != c->life || mv_core_stands(c->n->core, local(s, c->n), c->a))
+        return true;
+    later(s, 0, call_back, c);
+    return false;
+}
+
 static void do_rent(sim *s, gpointer data)
 {
     call *c = data;
+    if (put_off_frozen(s, c->n, do_rent, c) || !request_stands(s, c))
+        return;
     GPtrArray *names = g_hash_table_lookup(s->hires, c->a->name);
     if (!names && !capacity_left(s, c->a->yard)) {
         c->refused = true;
@@ -434,6 +462,8 @@
 static void do_release(sim *s, gpointer data)
 {
     call *c = data;
+    if (put_off_frozen(s, c->n, do_release, c) || !request_stands(s, c))
+        return;
     for (guint i = 0; i < c->a->hosts->len; i++) {
         st_worker *w = worker_named(s, g_ptr_array_index(c->a->hosts, i));
         if (!w)
@@ -509,6 +539,8 @@
 static void do_types(sim *s, gpointer data)
 {
     call *c = data;
+    if (put_off_frozen(s, c->n, do_types, c))
+        return;
     if (c->n->up && c->n->life == c->life) {
         mv_core_types(c->n->core, local(s, c->n), the_types(s));
         drain(s, c->n);
@@ -598,6 +630,7 @@
     mv_core_free(n->core);
     n->core = NULL;
     n->up = false;
+    n->frozen_until = 0;
     n->back_at = s->now + away;
 }
 
@@ -606,7 +639,7 @@
     node *n = data;
     if (!n->up && s->now >= n->back_at)
         start_node(s, n);
-    if (n->up) {
+    if (n->up && s->now >= n->frozen_until) {
         if (!n->session || s->now >= n->renew_at) {
             n->renew_at = s->now + MV_SESSION_RENEW_S;
             renew(s, n);
@@ -672,7 +705,7 @@
 {
     mv_report *r = data;
     node *n = &s->nodes[g_rand_int_range(s->rand, 0, NODES)];
-    if (n->up && s->now >= n->worker_cut_until) {
+    if (n->up && s->now >= n->worker_cut_until && s->now >= n->frozen_until) {
         mv_report_answer a;
         mv_core_report(n->core, local(s, n), r, &a);
         if (a.orders)
@@ -702,8 +735,8 @@
     st_worker_run(w, s->now);
     guint at = worker_at(w);
     node *n = &s->nodes[at];
-    bool cut =
-        s->now < n->worker_cut_until || s->now < w->cut_until || !n->up || chance(s, s->plan->lose);
+    bool cut = s->now < n->frozen_until || s->now < n->worker_cut_until || s->now < w->cut_until ||
+               !n->up || chance(s, s->plan->lose);
     if (cut) {
         worker_go(w, (at + 1) % NODES);
         later(s, n->up ? 4 : 1, worker_step, w);
@@ -905,6 +938,14 @@
         later(s, rnd(s, 0.2, 2) * s->plan->isolate, isolate, data);
 }
 
+static void freeze(sim *s, gpointer data)
+{
+    node *n = &s->nodes[g_rand_int_range(s->rand, 0, NODES)];
+    n->frozen_until = s->now + rnd(s, 2, 45);
+    if (s->now < s->plan->until)
+        later(s, rnd(s, 0.2, 2) * s->plan->freeze, freeze, data);
+}
+
 static void blink(sim *s, gpointer data)
 {
     bool all = chance(s, 0.3);
@@ -1047,6 +1088,7 @@
     first(&s, plan->machine_cut, cut_machine);
     first(&s, plan->machine_deaf, deafen);
     first(&s, plan->isolate, isolate);
+    first(&s, plan->freeze, freeze);
     first(&s, plan->blink, blink);
     first(&s, plan->machine_blink, blink_machine);
     bool over = false;
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -12,6 +12,7 @@
         machine_cut;      /* mean seconds between; 0: never */
     double machine_deaf;  /* reports arrive, answers and commands do not */
     double isolate;       /* a controller without state service and siblings, with its workers */
+    double freeze;        /* a controller stands still for longer than its leases */
     double blink;         /* controllers back within a fraction of a second, one or all */
     double machine_blink; /* and machines */
     double lose, hold;    /* share of messages */
--- a/tests/test_rules.c
+++ b/tests/test_rules.c
@@ -187,6 +187,22 @@
     expect_sound(&plan, 271, 6);
 }
 
+static const sim_plan FROZEN = {
+    .freeze = 15, .cancel = 0.2, .rush = 0.3, .until = 200, .settle = 600, .shards = 1, .jobs = 50};
+
+/* Controllers stand still for seconds to far longer than all their leases, while clocks run on. */
+static void frozen(void)
+{
+    expect_sound(&FROZEN, 341, 8);
+    sim_plan plan = FROZEN;
+    plan.shards = 3;
+    plan.machine_cut = 10;
+    plan.slow = 0.1;
+    plan.hold = plan.lose = 0.02;
+    plan.crash = 60;
+    expect_sound(&plan, 351, 8);
+}
+
 /* All of it at once. */
 static void everything(void)
 {
@@ -194,6 +210,7 @@
     plan.shards = 3;
     plan.machine_deaf = 30;
     plan.isolate = 50;
+    plan.freeze = 60;
     plan.blink = 40;
     plan.machine_blink = 40;
     plan.copies = 0.1;
@@ -270,6 +287,16 @@
     expect_broken(MV_GUARD_DEAF, &plan, "stuck");
 }
 
+/* Tokens keep the rules without it; but machines at work are returned by a leader of long ago. */
+static void guard_stands(void)
+{
+    sim_plan plan = FROZEN;
+    plan.freeze = 4;
+    plan.jobs = 80;
+    plan.settle = 0;
+    expect_broken(MV_GUARD_STANDS, &plan, "released");
+}
+
 static void guard_all_done(void)
 {
     expect_broken(MV_GUARD_ALL_DONE, &CALM, "not_done");
@@ -291,11 +318,13 @@
     g_test_add_func("/rules/deaf-machines", deaf_machines);
     g_test_add_func("/rules/late-copies", late_copies);
     g_test_add_func("/rules/isolated", isolated);
+    g_test_add_func("/rules/frozen", frozen);
     g_test_add_func("/rules/blinks", blinks);
     g_test_add_func("/rules/everything", everything);
     g_test_add_func("/guards/newer", guard_newer);
     g_test_add_func("/guards/own-token", guard_own_token);
     g_test_add_func("/guards/deaf", guard_deaf);
+    g_test_add_func("/guards/stands", guard_stands);
     g_test_add_func("/guards/rebuild", guard_rebuild);
     g_test_add_func("/guards/unknown-use", guard_unknown);
     g_test_add_func("/guards/limit", guard_limit);
