--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -191,6 +191,7 @@
 {
     mv_core *c = g_new0(mv_core, 1);
     c->conf = conf;
+    c->stamps = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     c->nodes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     c->shards = g_ptr_array_new_with_free_func(free_shard);
     c->teams = g_new0(team, conf->n_teams);
@@ -240,6 +241,7 @@
     g_hash_table_unref(c->machines);
     g_hash_table_unref(c->jobs);
     g_hash_table_unref(c->nodes);
+    g_hash_table_unref(c->stamps);
     g_ptr_array_unref(c->shards);
     mv_holder_clear(&c->leader);
     g_hash_table_unref(c->learnt);
@@ -377,9 +379,25 @@
     }
 }
 
+/* A list of many records comes in pages, each newer than the one before, and changes are followed
+ * from the first page on: what a later page showed already must not go back to what it was. */
+static bool is_older(mv_core *c, const char *key, const GBytes *data, uint64_t stamp)
+{
+    const uint64_t *known = g_hash_table_lookup(c->stamps, key);
+    if (known && stamp && stamp < *known)
+        return true;
+    if (data)
+        g_hash_table_replace(c->stamps, g_strdup(key), g_memdup2(&stamp, sizeof stamp));
+    else
+        g_hash_table_remove(c->stamps, key);
+    return false;
+}
+
 void mv_core_record(mv_core *c, double now, const char *key, GBytes *data, uint64_t stamp)
 {
     enter(c, now);
+    if (is_older(c, key, data, stamp))
+        return;
     g_autoptr(mv_doc) doc = NULL;
     if (data) {
         gsize n;
--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -239,6 +239,7 @@
     double replica_contact; /* the copy of the records was complete up to then */
     bool session;
     bool synced;
+    GHashTable *stamps; /* key -> stamp of its record in the copy */
     GHashTable *nodes;
     mv_holder leader;
     uint64_t leader_stamp;
--- a/src/coordination/machines.c
+++ b/src/coordination/machines.c
@@ -725,6 +725,8 @@
 void mv_flush_commands(mv_core *c)
 {
     guint kept = 0;
+    if (g_hash_table_size(c->commands) >= MV_COMMANDS_QUEUED)
+        return; /* asked at every event */
     for (guint i = 0; i < c->commandable->len; i++) {
         machine *m = g_ptr_array_index(c->commandable, i);
         if (g_hash_table_size(c->commands) < MV_COMMANDS_QUEUED && flush_command(c, m))
--- a/src/service/daemon.c
+++ b/src/service/daemon.c
@@ -43,7 +43,7 @@
     mv_peer_server *back;
     mv_peer **peers; /* like conf->siblings */
     char cloud_at[80];
-    GHashTable *known; /* key -> stamp, the copy's keys, used by the follower only */
+    GHashTable *known; /* the copy's keys, used by the follower only */
     GHashTable *listed;
 };
 
--- a/tests/test_size.c
+++ b/tests/test_size.c
@@ -614,6 +614,26 @@
     unmake(&w);
 }
 
+/* Records never go back: pages of one list are of different times, and changes are followed from
+ * the first page on. */
+static void records_never_go_back(void)
+{
+    world w = {.machines = 0, .report_s = 1};
+    make(&w);
+    start(&w);
+    w.stamp = 50;
+    shard_of(&w, K_SHARD "0", "n0", 7, 9); /* stamp 51, as the list showed it */
+    w.stamp = 30;
+    shard_of(&w, K_SHARD "0", "n1", 8, 8); /* stamp 31, as it was before */
+    g_assert_cmpstr(holder_of(&w, 0), ==, "n0");
+    mv_core_record(w.core, w.now, K_SHARD "0", NULL, 40);
+    g_assert_cmpstr(holder_of(&w, 0), ==, "n0");
+    w.stamp = 60;
+    shard_of(&w, K_SHARD "0", "n1", 8, 10);
+    g_assert_cmpstr(holder_of(&w, 0), ==, "n1");
+    unmake(&w);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -621,6 +641,7 @@
     g_test_add_func("/size/large-job-begins", large_job_begins);
     g_test_add_func("/size/guard-starved", guard_starved);
     g_test_add_func("/size/late-launch", late_launch);
+    g_test_add_func("/size/records-never-go-back", records_never_go_back);
     g_test_add_func("/size/cut-holder", cut_holder_is_left_out);
     g_test_add_func("/size/move-is-conditional", move_is_conditional);
     return g_test_run();
