--- a/src/constants.h
+++ b/src/constants.h
@@ -142,19 +142,25 @@
 #define MV_CLOUD_TIMEOUT_MS 5000   /* a cloud call without an answer */
 #define MV_PASS_ON_MS 1500         /* a request that a sibling serves for us */
 #define MV_PEER_TIMEOUT_MS 600     /* a sibling without an answer */
-#define MV_HEALTH_S 0.5        /* how often siblings are asked while the state service is silent */
-#define MV_FOLLOW_MS 3000      /* length of one watch: what a cut swallows shows after it */
-#define MV_FOLLOW_PAUSE_MS 80  /* least time between watches: batches changes */
-#define MV_FOLLOW_PER_JOB_MS 2 /* and more for each live job, as there is more to batch */
-#define MV_FOLLOW_MOST_MS 250  /* but at most this */
-#define MV_LISTEN_PATIENCE_S 5.0  /* without the records for this long, serve what can be served */
-#define MV_HTTP_BACKLOG 1024      /* connections that wait to be accepted */
-#define MV_HTTP_SHARE 0.74        /* of all sockets, for connections that others open */
-#define MV_LANE_SHARE 0.18        /* and for those that direct commands keep open */
-#define MV_HTTP_CONNECTION_KB 16  /* memory of one connection that others open, with its request */
-#define MV_HTTP_RAM_SHARE 0.4     /* of the memory, for them */
-#define MV_HTTP_CROWDED 0.85      /* of them taken: workers' are ended after each answer */
-#define MV_REQUEST_ROUTINES 24    /* users' requests that wait for the state service at once */
+#define MV_HEALTH_S 0.5         /* how often siblings are asked while the state service is silent */
+#define MV_FOLLOW_MS 3000       /* length of one watch: what a cut swallows shows after it */
+#define MV_FOLLOW_SHARED_MS 200 /* and while users' questions wait for it */
+#define MV_FOLLOW_PAUSE_MS 80   /* least time between watches: batches changes */
+#define MV_FOLLOW_PER_JOB_MS 2  /* and more for each live job, as there is more to batch */
+#define MV_FOLLOW_MOST_MS 250   /* but at most this */
+#define MV_LISTEN_PATIENCE_S 5.0 /* without the records for this long, serve what can be served */
+#define MV_HTTP_BACKLOG 1024     /* connections that wait to be accepted */
+#define MV_HTTP_SHARE 0.74       /* of all sockets, for connections that others open */
+#define MV_LANE_SHARE 0.18       /* and for those that direct commands keep open */
+#define MV_HTTP_CONNECTION_KB 16 /* memory of one connection that others open, with its request */
+#define MV_HTTP_RAM_SHARE 0.4    /* of the memory, for them */
+#define MV_HTTP_CROWDED 0.85     /* of them taken: workers' are ended after each answer */
+#define MV_REQUEST_ROUTINES 64   /* users' requests that wait for the state service at once */
+#define MV_POLL_S 5.0            /* PROTOCOL: users ask about a job roughly this often */
+#define MV_POLL_SHARE                                                                              \
+    0.2                    /* of the state service's limit for their questions; above, they share  \
+                            */
+#define MV_POLL_WAIT_S 0.7 /* the watches; after this each asks by itself all the same */
 #define MV_REQUESTS_WAITING 200u  /* and those that wait for a routine; more are sent away */
 #define MV_HTTP_MEMORY (8 * 1024) /* bytes MHD keeps for one connection */
 #define MV_SHED_RETRY_S 2         /* seconds in Retry-After of a 429 */
--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -150,6 +150,11 @@
     return g_hash_table_size(names);
 }
 
+double mv_core_fresh_at(const mv_core *c)
+{
+    return c->replica_contact;
+}
+
 bool mv_core_settled(const mv_core *c)
 {
     for (guint i = 0; i < c->shards->len; i++) {
--- a/src/coordination/core.h
+++ b/src/coordination/core.h
@@ -150,6 +150,8 @@
 bool mv_core_ready(const mv_core *core);
 /* The records are known, and every shard has a holder that lives. */
 bool mv_core_settled(const mv_core *core);
+/* The copy holds every change made before this time. */
+double mv_core_fresh_at(const mv_core *core);
 unsigned mv_core_holders(const mv_core *core); /* controllers that hold shards */
 unsigned mv_core_jobs(const mv_core *core);    /* live ones */
 bool mv_core_leads(const mv_core *core);
--- a/src/service/daemon.c
+++ b/src/service/daemon.c
@@ -32,7 +32,7 @@
     mv_core *core;
     mv_state *state;
     pthread_mutex_t lock;
-    pthread_cond_t stop_cond;
+    pthread_cond_t stop_cond, followed; /* followed: the copy was brought up to date */
     bool stopping;
     GPtrArray *threads; /* of pthread_t * */
     work txns, cloud, demands;
@@ -146,14 +146,18 @@
     return stop;
 }
 
+static struct timespec steady_in(double seconds)
+{
+    double at = steady() + seconds;
+    struct timespec until = {.tv_sec = (time_t)at};
+    until.tv_nsec = (long)((at - (double)until.tv_sec) * 1e9);
+    return until;
+}
+
 /* Sleeps, but not beyond the end; false at the end. */
 static bool rest(mv_daemon *d, double seconds)
 {
-    struct timespec until;
-    clock_gettime(CLOCK_MONOTONIC, &until);
-    double at = (double)until.tv_sec + (double)until.tv_nsec / 1e9 + seconds;
-    until.tv_sec = (time_t)at;
-    until.tv_nsec = (long)((at - (double)until.tv_sec) * 1e9);
+    struct timespec until = steady_in(seconds);
     pthread_mutex_lock(&d->lock);
     while (!d->stopping && pthread_cond_timedwait(&d->stop_cond, &d->lock, &until) == 0)
         ;
@@ -276,6 +280,21 @@
     return MIN(MV_FOLLOW_PAUSE_MS + MV_FOLLOW_PER_JOB_MS * jobs, MV_FOLLOW_MOST_MS) / 1000.0;
 }
 
+/* Whether users ask more than the state service's limit has room for. The lock is held. */
+static bool many_questions(const mv_daemon *d)
+{
+    return mv_core_jobs(d->core) / MV_POLL_S > MV_POLL_SHARE * d->conf->state_rps;
+}
+
+static unsigned watch_time(mv_daemon *d)
+{
+    double now;
+    mv_daemon_enter(d, &now);
+    bool shared = many_questions(d);
+    mv_daemon_leave(d);
+    return shared ? MV_FOLLOW_SHARED_MS : MV_FOLLOW_MS;
+}
+
 static void *follow_routine(void *arg)
 {
     mv_daemon *d = arg;
@@ -291,12 +310,13 @@
         if (!listed)
             r = (listed = list_records(d, &epoch)) ? MV_STATE_OK : MV_STATE_REFUSED;
         else
-            r = mv_state_follow(d->state, seen_followed, d, &epoch);
+            r = mv_state_follow(d->state, seen_followed, d, watch_time(d), &epoch);
         if (r == MV_STATE_GONE)
             listed = false;
         if (r == MV_STATE_OK) {
             mv_core *core = mv_daemon_enter(d, &now);
             mv_core_followed(core, now, sent);
+            pthread_cond_broadcast(&d->followed);
             mv_daemon_leave(d);
         }
         if (!rest(d, r == MV_STATE_OK ? follow_pause(d) : MV_SESSION_RETRY_S))
@@ -739,6 +759,23 @@
     return contact;
 }
 
+/* A watch that was sent after a question came, and answered, tells as much of every job as asking
+ * the state service for this one does. With some 500 jobs about, users' questions alone came to its
+ * limit, and submissions were refused for them. */
+bool mv_daemon_caught_up(mv_daemon *d)
+{
+    struct timespec until = steady_in(MV_POLL_WAIT_S);
+    double now;
+    const mv_core *core = mv_daemon_enter(d, &now);
+    double came = now;
+    bool wait = many_questions(d);
+    while (wait && !d->stopping && mv_core_fresh_at(core) < came)
+        wait = pthread_cond_timedwait(&d->followed, &d->lock, &until) == 0;
+    bool fresh = wait && mv_core_fresh_at(core) >= came && mv_core_in_contact(core, steady());
+    mv_daemon_leave(d);
+    return fresh;
+}
+
 bool mv_daemon_sibling_answered(mv_daemon *d)
 {
     return g_atomic_int_get(&d->sibling_answered);
@@ -841,6 +878,7 @@
     pthread_condattr_init(&steady_clock);
     pthread_condattr_setclock(&steady_clock, CLOCK_MONOTONIC);
     pthread_cond_init(&d->stop_cond, &steady_clock);
+    pthread_cond_init(&d->followed, &steady_clock);
     pthread_condattr_destroy(&steady_clock);
     d->threads = g_ptr_array_new_with_free_func(g_free);
     for (size_t i = 0; i < N_QUEUES; i++)
@@ -872,6 +910,7 @@
     pthread_mutex_lock(&d->lock);
     d->stopping = true;
     pthread_cond_broadcast(&d->stop_cond);
+    pthread_cond_broadcast(&d->followed);
     for (size_t i = 0; i < N_QUEUES; i++)
         pthread_cond_broadcast(&queue_at(d, i)->filled);
     pthread_mutex_unlock(&d->lock);
@@ -893,5 +932,6 @@
     mv_state_free(d->state);
     pthread_mutex_destroy(&d->lock);
     pthread_cond_destroy(&d->stop_cond);
+    pthread_cond_destroy(&d->followed);
     g_free(d);
 }
--- a/src/service/daemon.h
+++ b/src/service/daemon.h
@@ -40,6 +40,9 @@
 void mv_route_busy(const char *method, const char *path, mv_reply *reply);
 /* Whether the state service answered lately. */
 bool mv_daemon_in_contact(mv_daemon *d);
+/* Where users ask more than the state service's limit has room for: waits until the copy holds
+ * every change made before the call. False: ask the state service. */
+bool mv_daemon_caught_up(mv_daemon *d);
 /* Whether, while it did not, a sibling answered lately; always true without siblings. */
 bool mv_daemon_sibling_answered(mv_daemon *d);
 #endif
--- a/src/service/routes.c
+++ b/src/service/routes.c
@@ -71,6 +71,33 @@
 
 typedef enum { KNOWN_ACTIVE, KNOWN_FINAL, KNOWN_NOT, KNOWN_UNSURE } knowledge;
 
+static knowledge look_up_live(mv_daemon *d, const char *id, uint64_t *stamp, unsigned *pieces)
+{
+    if (mv_daemon_caught_up(d)) {
+        mv_job_view v;
+        double now;
+        mv_core_job(mv_daemon_enter(d, &now), id, &v);
+        mv_daemon_leave(d);
+        *stamp = v.stamp;
+        *pieces = v.pieces;
+        return v.active ? KNOWN_ACTIVE : KNOWN_NOT;
+    }
+    char key[MV_KEY_SIZE];
+    g_snprintf(key, sizeof key, K_JOB "%s", id);
+    GBytes *data = NULL;
+    mv_state_result r = mv_state_get(mv_daemon_state(d), key, &data, stamp);
+    if (r != MV_STATE_OK)
+        return r == MV_STATE_MISSING ? KNOWN_NOT : KNOWN_UNSURE;
+    gsize n;
+    const void *p = g_bytes_get_data(data, &n);
+    g_autoptr(mv_doc) doc = mv_doc_parse(p, n);
+    uint64_t count = 0;
+    bool ok = doc && mv_get_u64(mv_doc_root(doc), N_PIECES, &count) == MV_GOT;
+    g_bytes_unref(data);
+    *pieces = (unsigned)count;
+    return ok ? KNOWN_ACTIVE : KNOWN_UNSURE;
+}
+
 /* Never older than any answer given by any node: an end is for good, everything else is read
  * from the state service now. The live record first: a job only ever moves from there to its
  * final record. */
@@ -82,23 +109,12 @@
         return KNOWN_FINAL;
     if (!mv_daemon_in_contact(d))
         return KNOWN_UNSURE; /* rather at once than after a time-out */
-    g_snprintf(key, sizeof key, K_JOB "%s", id);
+    knowledge live = look_up_live(d, id, stamp, pieces);
+    if (live != KNOWN_NOT)
+        return live;
     GBytes *data = NULL;
-    mv_state_result r = mv_state_get(mv_daemon_state(d), key, &data, stamp);
-    if (r == MV_STATE_OK) {
-        gsize n;
-        const void *p = g_bytes_get_data(data, &n);
-        g_autoptr(mv_doc) doc = mv_doc_parse(p, n);
-        uint64_t count = 0;
-        bool ok = doc && mv_get_u64(mv_doc_root(doc), N_PIECES, &count) == MV_GOT;
-        g_bytes_unref(data);
-        *pieces = (unsigned)count;
-        return ok ? KNOWN_ACTIVE : KNOWN_UNSURE;
-    }
-    if (r != MV_STATE_MISSING)
-        return KNOWN_UNSURE;
     g_snprintf(key, sizeof key, K_FINAL "%s", id);
-    r = mv_state_get(mv_daemon_state(d), key, &data, stamp);
+    mv_state_result r = mv_state_get(mv_daemon_state(d), key, &data, stamp);
     if (r == MV_STATE_MISSING)
         return KNOWN_NOT;
     if (r != MV_STATE_OK)
--- a/src/storage/state.c
+++ b/src/storage/state.c
@@ -348,14 +348,15 @@
     return MV_STATE_OK;
 }
 
-mv_state_result mv_state_follow(mv_state *s, mv_state_seen seen, void *ctx, uint64_t *epoch)
+mv_state_result mv_state_follow(mv_state *s, mv_state_seen seen, void *ctx, unsigned wait_ms,
+                                uint64_t *epoch)
 {
     char path[200];
     g_snprintf(path, sizeof path,
-               N_FOLLOW "?" N_STARTS "=" K_LIVE "&" N_AFTER "=%" G_GUINT64_FORMAT "&" N_WAIT "=%d",
-               *epoch, MV_FOLLOW_MS);
+               N_FOLLOW "?" N_STARTS "=" K_LIVE "&" N_AFTER "=%" G_GUINT64_FORMAT "&" N_WAIT "=%u",
+               *epoch, wait_ms);
     g_autoptr(mv_doc) doc = NULL;
-    mv_state_result r = call(s, false, "GET", path, NULL, MV_FOLLOW_MS + MV_STATE_TIMEOUT_MS, &doc);
+    mv_state_result r = call(s, false, "GET", path, NULL, wait_ms + MV_STATE_TIMEOUT_MS, &doc);
     if (r != MV_STATE_OK)
         return r;
     const msgpack_object *root = mv_doc_root(doc);
--- a/src/storage/state.h
+++ b/src/storage/state.h
@@ -29,5 +29,6 @@
 typedef void (*mv_state_seen)(void *ctx, const char *key, GBytes *data, uint64_t stamp);
 /* All records under K_LIVE; *epoch tells where to follow on. */
 mv_state_result mv_state_list(mv_state *s, mv_state_seen seen, void *ctx, uint64_t *epoch);
-mv_state_result mv_state_follow(mv_state *s, mv_state_seen seen, void *ctx, uint64_t *epoch);
+mv_state_result mv_state_follow(mv_state *s, mv_state_seen seen, void *ctx, unsigned wait_ms,
+                                uint64_t *epoch);
 #endif
--- a/tests/test_processes.c
+++ b/tests/test_processes.c
@@ -109,6 +109,8 @@
 
 /* --- state service --- */
 
+static unsigned live_reads; /* of records of unfinished jobs, one by one */
+
 static const char *arg(struct MHD_Connection *con, const char *name)
 {
     const char *v = MHD_lookup_connection_value(con, MHD_GET_ARGUMENT_KIND, name);
@@ -229,6 +231,7 @@
     } else if (g_str_has_prefix(url, N_STORE "/")) {
         const st_item *i = st_get(state, url + strlen(N_STORE "/"));
         status = i ? 200 : 404;
+        live_reads += g_str_has_prefix(url, N_STORE "/" K_JOB);
         if (i)
             put_item(out, i);
     } else if (strcmp(url, N_LEASES) == 0) {
@@ -485,7 +488,7 @@
         "[outside]\ncloud = \"127.0.0.1:%u\"\nstate = \"127.0.0.1:%u\"\n[settings]\ncount = 3\n"
         "[[settings.teams]]\nname = \"red\"\ncpus_max = 40.0\n"
         "[settings.workers]\nreport_s = 0.6\nlease_s = 20.0\ncancel_s = 60.0\n"
-        "[settings.state]\nrps = 500.0\nwrite_rps = 200.0\nvalue_kb = 16.0\ntxn_ops = 12\n"
+        "[settings.state]\nrps = 5.0\nwrite_rps = 200.0\nvalue_kb = 16.0\ntxn_ops = 12\n"
         "[settings.cloud]\nrps = 20.0\nlist_lag_s = 1.0\n",
         cloud_port, state_port);
     g_assert_true(g_file_set_contents(nodes[i].config, t->str, -1, NULL));
@@ -604,6 +607,30 @@
     g_assert_cmpstr(status, ==, N_DONE);
 }
 
+/* With many jobs about, questions share the watches instead of asking the state service one by one.
+ * Each job here comes with a question about every earlier one, at every node. */
+static void shared_questions(void)
+{
+    char id[MV_ID_SIZE], path[80], status[40];
+    unsigned asked = 0, before = live_reads;
+    for (unsigned i = 0; i < 14; i++) {
+        g_snprintf(id, sizeof id, "j-0001%02u", i);
+        submit(id);
+        for (unsigned k = 0; k <= i; k++) {
+            g_snprintf(path, sizeof path, N_RUNS "/j-0001%02u", k);
+            int code = ask((i + k) % NODES, "GET", path, NULL, status, sizeof status);
+            g_assert_cmpint(code, !=, 404);
+            asked++;
+        }
+        until("GET", N_RUNS "/j-999998", NULL, 404, 404, status, sizeof status);
+    }
+    g_assert_cmpuint(live_reads - before, <, asked);
+    for (unsigned i = 0; i < 14; i++) {
+        g_snprintf(id, sizeof id, "j-0001%02u", i);
+        wait_done(id);
+    }
+}
+
 static void kills(void)
 {
     submit("j-000010");
@@ -694,6 +721,7 @@
         start_node(i);
     }
     g_test_add_func("/processes/answers", answers);
+    g_test_add_func("/processes/shared-questions", shared_questions);
     g_test_add_func("/processes/kills", kills);
     g_test_add_func("/processes/silent-cloud", silent_cloud);
     g_test_add_func("/processes/picture", picture);
