--- a/src/constants.h
+++ b/src/constants.h
@@ -126,8 +126,9 @@
 /* --- runtime --- */
 #define MV_STACK_BYTES (96 * 1024) /* thread stacks: hundreds must fit in the memory */
 #define MV_COMMAND_THREADS 24      /* direct commands in flight */
+#define MV_COMMAND_HELPERS 72      /* and more where machines that say nothing hold those up */
 #define MV_LANE_SLOW_S 0.1         /* a lane busy for longer is helped out by others */
-#define MV_COMMANDS_QUEUED 60u     /* and waiting for one of them: later ones say more */
+#define MV_COMMANDS_QUEUED 110u    /* in flight or waiting for a routine: later ones say more */
 #define MV_STATE_CALLERS 8         /* requests of users and transactions at the state service */
 #define MV_TXN_THREADS 2           /* transactions in flight */
 #define MV_CLOUD_THREADS 2         /* cloud calls in flight: one may hang */
--- a/src/service/daemon.c
+++ b/src/service/daemon.c
@@ -27,6 +27,8 @@
     double busy_since; /* 0: idle */
 } lane;
 
+#define MV_LANES (MV_COMMAND_THREADS + MV_COMMAND_HELPERS)
+
 struct mv_daemon {
     const mv_settings *conf;
     mv_core *core;
@@ -36,8 +38,10 @@
     bool stopping;
     GPtrArray *threads; /* of pthread_t * */
     work txns, cloud, demands;
-    lane lanes[MV_COMMAND_THREADS];
-    unsigned next_lane; /* for the routines, as they start */
+    lane lanes[MV_LANES]; /* the last of them without machines of their own */
+    unsigned n_lanes;     /* that have a routine */
+    unsigned next_lane;   /* for the routines, as they begin */
+    bool running;         /* all that is started at first has been */
     mv_http_server *http;
     gint sibling_answered;
     mv_peer_server *back;
@@ -82,17 +86,23 @@
     pthread_cond_signal(&w->filled);
 }
 
+static bool start_thread(mv_daemon *d, routine run);
+static void *command_routine(void *arg);
+
 static void put_command(mv_daemon *d, mv_action *a)
 {
     lane *own = &d->lanes[g_str_hash(a->machine) % MV_COMMAND_THREADS];
     put(&own->queue, a);
     if (own->busy_since == 0 || steady() < own->busy_since + MV_LANE_SLOW_S)
         return;
-    for (int i = 0; i < MV_COMMAND_THREADS; i++)
+    for (unsigned i = 0; i < d->n_lanes; i++)
         if (d->lanes[i].busy_since == 0) {
             pthread_cond_signal(&d->lanes[i].queue.filled);
             return;
         }
+    /* Hundreds of dead machines, each asked for half a second, held up a take-over for 30 s. */
+    if (d->running && !d->stopping && d->n_lanes < MV_LANES && start_thread(d, command_routine))
+        d->n_lanes++;
 }
 
 /* From its own lane, else from one that is held up. */
@@ -103,7 +113,7 @@
     own->busy_since = 0;
     while (!d->stopping) {
         a = g_queue_pop_head(&own->queue.actions);
-        for (int i = 0; i < MV_COMMAND_THREADS && !a; i++) {
+        for (unsigned i = 0; i < MV_COMMAND_THREADS && !a; i++) {
             lane *other = &d->lanes[i];
             if (other->busy_since > 0 && steady() > other->busy_since + MV_LANE_SLOW_S)
                 a = g_queue_pop_head(&other->queue.actions);
@@ -393,8 +403,11 @@
     mv_daemon *d = arg;
     mv_action *a;
     pthread_mutex_lock(&d->lock);
-    lane *own = &d->lanes[d->next_lane++];
+    unsigned number = d->next_lane++;
+    lane *own = &d->lanes[number];
     pthread_mutex_unlock(&d->lock);
+    if (number < MV_COMMAND_THREADS)
+        mv_http_client_keep(d->conf->max_connections * MV_LANE_SHARE / MV_COMMAND_THREADS);
     while ((a = take_command(d, own))) {
         if (!stands(d, a)) {
             mv_action_free(a);
@@ -835,7 +848,7 @@
     mv_action_free(p);
 }
 
-#define N_QUEUES (3 + MV_COMMAND_THREADS)
+#define N_QUEUES (3 + MV_LANES)
 
 static work *queue_at(mv_daemon *d, size_t i)
 {
@@ -854,6 +867,10 @@
         ok = ok && start_thread(d, command_routine);
     for (int i = 0; i < MV_CLOUD_THREADS; i++)
         ok = ok && start_thread(d, cloud_routine);
+    pthread_mutex_lock(&d->lock);
+    d->n_lanes = MV_COMMAND_THREADS;
+    d->running = true;
+    pthread_mutex_unlock(&d->lock);
     return ok;
 }
 
@@ -889,8 +906,7 @@
     for (size_t i = 0; i < conf->n_siblings; i++)
         d->peers[i] = mv_peer_new(&conf->siblings[i].back);
     mv_core_tick(d->core, steady(), time_of_day()); /* records speak of the time of day */
-    mv_http_client_init((unsigned)CLAMP(conf->max_connections * MV_LANE_SHARE / MV_COMMAND_THREADS,
-                                        MV_CLIENT_LEAST, MV_CLIENT_CONNECTIONS));
+    mv_http_client_init();
     d->back = mv_peer_listen(&conf->back, on_peer, d);
     mv_http_handler handler = {
         .answer = on_http, .at_once = mv_route_at_once, .busy = on_busy, .ctx = d};
--- a/src/service/status.c
+++ b/src/service/status.c
@@ -123,7 +123,7 @@
         return 2;
     }
     mv_http_answer answer;
-    mv_http_client_init(1);
+    mv_http_client_init();
     mv_http_call("GET", address, N_OVERVIEW, NULL, MV_CLOUD_TIMEOUT_MS, &answer);
     gsize n;
     const void *p = g_bytes_get_data(answer.body, &n);
--- a/src/transport/http_client.c
+++ b/src/transport/http_client.c
@@ -23,11 +23,8 @@
 
 static GPrivate mine = G_PRIVATE_INIT(client_free);
 
-static unsigned kept_open;
-
-void mv_http_client_init(unsigned kept)
+void mv_http_client_init(void)
 {
-    kept_open = kept;
     curl_global_init(CURL_GLOBAL_NOTHING);
 }
 
@@ -55,7 +52,7 @@
     curl_easy_setopt(c->easy, CURLOPT_HTTPHEADER, c->headers);
     curl_easy_setopt(c->easy, CURLOPT_WRITEFUNCTION, collect);
     curl_easy_setopt(c->easy, CURLOPT_WRITEDATA, c->body);
-    curl_easy_setopt(c->easy, CURLOPT_MAXCONNECTS, (long)kept_open);
+    curl_easy_setopt(c->easy, CURLOPT_MAXCONNECTS, (long)MV_CLIENT_LEAST);
     curl_easy_setopt(c->easy, CURLOPT_PROXY, "");
     curl_easy_setopt(c->easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(c->easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
@@ -64,6 +61,12 @@
     return c;
 }
 
+void mv_http_client_keep(double connections)
+{
+    curl_easy_setopt(client_get()->easy, CURLOPT_MAXCONNECTS,
+                     (long)CLAMP(connections, MV_CLIENT_LEAST, MV_CLIENT_CONNECTIONS));
+}
+
 bool mv_http_call(const char *method, const char *to, const char *path, GBytes *body,
                   unsigned timeout_ms, mv_http_answer *out)
 {
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -9,8 +9,9 @@
     GBytes *body; /* never NULL after a call; the caller clears */
 } mv_http_answer;
 
-/* Once, before any call; `kept` connections at most are kept open by a thread. */
-void mv_http_client_init(unsigned kept);
+void mv_http_client_init(void);
+/* How many connections this thread may keep open; few, unless it says so before its first call. */
+void mv_http_client_keep(double connections);
 /* `to` is "10.0.0.1:8080"; body may be NULL. Returns whether there was any answer. */
 bool mv_http_call(const char *method, const char *to, const char *path, GBytes *body,
                   unsigned timeout_ms, mv_http_answer *out);
--- a/tests/test_processes.c
+++ b/tests/test_processes.c
@@ -702,7 +702,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     signal(SIGPIPE, SIG_IGN);
-    mv_http_client_init(4);
+    mv_http_client_init();
     state = st_state_new();
     workers = g_ptr_array_new();
     hires =
