--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -38,7 +38,10 @@
                            "txn_ops = 24\n"
                            "[settings.cloud]\n"
                            "rps = 10.0\n"
-                           "list_lag_s = 6.0\n";
+                           "list_lag_s = 6.0\n"
+                           "[settings.machine_limits]\n"
+                           "ram_mb = 128.0\n"
+                           "max_connections = 2581\n";
 
 static char *write_file(const char *text)
 {
@@ -71,6 +74,8 @@
     g_assert_cmpuint(s->state.port, ==, 2379);
     g_assert_cmpfloat(mv_settings_team(s, "red")->cpus_max, ==, 192);
     g_assert_null(mv_settings_team(s, "blue"));
+    g_assert_cmpfloat(s->ram_mb, ==, 128);
+    g_assert_cmpuint(s->max_connections, ==, 2581);
     g_assert_cmpint(s->objectives[0].kind, ==, MV_OBJ_WAIT);
     /* An outdated holder and then its workers must both be over before cancel_s. */
     g_assert_cmpfloat(mv_settings_block_lease(s) + s->lease_s, <, s->cancel_s);
@@ -100,24 +105,27 @@
 {
     static const struct {
         const char *line, *instead, *named;
-    } cases[] = {{"node_name", NULL, "node_name"},
-                 {"listen", "listen = \"localhost:1\"", "listen"},
-                 {"listen", "listen = \"10.0.0.1:99999\"", "listen"},
-                 {"listen", "listen = 8080", "listen"},
-                 {"back", NULL, "back"},
-                 {"cloud", "cloud = \"10.2.0.2\"", "outside.cloud"},
-                 {"state", NULL, "outside.state"},
-                 {"address", "address = \"x\"", "siblings[0].address"},
-                 {"name", "name = \"\"", "settings.teams[0].name"},
-                 {"cpus_max", "cpus_max = -1.0", "settings.teams[0].cpus_max"},
-                 {"cpus =", "cpus = \"many\"", "settings.teams[0].cpus"},
-                 {"report_s", NULL, "settings.workers.report_s"},
-                 {"lease_s", "lease_s = nan", "settings.workers.lease_s"},
-                 {"lease_s", "lease_s = 50.0", "settings.workers.cancel_s"},
-                 {"txn_ops", "txn_ops = 0", "settings.state.txn_ops"},
-                 {"rps", "rps = 0.0", "settings.state.rps"},
-                 {"list_lag_s", "list_lag_s = inf", "settings.cloud.list_lag_s"},
-                 {"area", "area = [", "line 3"}};
+    } cases[] = {
+        {"node_name", NULL, "node_name"},
+        {"listen", "listen = \"localhost:1\"", "listen"},
+        {"listen", "listen = \"10.0.0.1:99999\"", "listen"},
+        {"listen", "listen = 8080", "listen"},
+        {"back", NULL, "back"},
+        {"cloud", "cloud = \"10.2.0.2\"", "outside.cloud"},
+        {"state", NULL, "outside.state"},
+        {"address", "address = \"x\"", "siblings[0].address"},
+        {"name", "name = \"\"", "settings.teams[0].name"},
+        {"cpus_max", "cpus_max = -1.0", "settings.teams[0].cpus_max"},
+        {"cpus =", "cpus = \"many\"", "settings.teams[0].cpus"},
+        {"report_s", NULL, "settings.workers.report_s"},
+        {"lease_s", "lease_s = nan", "settings.workers.lease_s"},
+        {"lease_s", "lease_s = 50.0", "settings.workers.cancel_s"},
+        {"txn_ops", "txn_ops = 0", "settings.state.txn_ops"},
+        {"rps", "rps = 0.0", "settings.state.rps"},
+        {"list_lag_s", "list_lag_s = inf", "settings.cloud.list_lag_s"},
+        {"ram_mb", "ram_mb = 8.0", "settings.machine_limits.ram_mb"},
+        {"max_connections", "max_connections = 40", "settings.machine_limits.max_connections"},
+        {"area", "area = [", "line 3"}};
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         char error[300] = "";
         g_autofree char *toml = with_line(cases[i].line, cases[i].instead);
