--- a/tests/test_size.c
+++ b/tests/test_size.c
@@ -421,6 +421,23 @@
     g_ptr_array_unref(h.teams);
 }
 
+/* n0, which is the core under test, leads; controllers n0, n1 and so on hold a shard each. */
+static void lead(world *w, unsigned controllers)
+{
+    mv_holder leader = {.node = "n0", .incarnation = 7, .term = 3};
+    record(w, K_TERM, mv_counter_pack(9));
+    record(w, K_LEADER, mv_holder_pack(&leader));
+    for (unsigned i = 0; i < controllers; i++) {
+        mv_holder h = {.incarnation = 7 + i};
+        char key[MV_KEY_SIZE];
+        g_snprintf(h.node, sizeof h.node, "n%u", i);
+        g_snprintf(key, sizeof key, K_NODE "%s", h.node);
+        record(w, key, mv_holder_pack(&h));
+        g_snprintf(key, sizeof key, K_SHARD "%u", i);
+        shard_of(w, key, h.node, 7 + i, 4 + i);
+    }
+}
+
 static mv_demand *offer_of(uint64_t term, uint64_t stamp)
 {
     mv_demand *d = g_new0(mv_demand, 1);
@@ -443,14 +460,7 @@
     world w = {.machines = 0, .report_s = 1};
     make(&w);
     start(&w);
-    mv_holder lead = {.node = "n0", .incarnation = 7, .term = 3};
-    record(&w, K_TERM, mv_counter_pack(9));
-    record(&w, K_LEADER, mv_holder_pack(&lead));
-    record(&w, K_NODE "n0", mv_holder_pack(&lead));
-    mv_holder other = {.node = "n1", .incarnation = 8};
-    record(&w, K_NODE "n1", mv_holder_pack(&other));
-    shard_of(&w, K_SHARD "0", "n0", 7, 4);
-    shard_of(&w, K_SHARD "1", "n1", 8, 5);
+    lead(&w, 2);
     uint64_t grant = w.stamp;
     g_autoptr(GArray) members = g_array_new(FALSE, TRUE, sizeof(mv_member));
     mv_member m = {.id = "vm-000001", .hull = "small", .yard = "z", .loaners = true, .at = 1e6};
@@ -575,18 +585,7 @@
     world w = {.machines = 0, .report_s = 1};
     make(&w);
     start(&w);
-    mv_holder lead = {.node = "n0", .incarnation = 7, .term = 3};
-    record(&w, K_TERM, mv_counter_pack(9));
-    record(&w, K_LEADER, mv_holder_pack(&lead));
-    for (uint64_t i = 0; i < 3; i++) {
-        mv_holder h = {.incarnation = 7 + i};
-        char key[MV_KEY_SIZE];
-        g_snprintf(h.node, sizeof h.node, "n%u", (unsigned)i);
-        g_snprintf(key, sizeof key, K_NODE "%s", h.node);
-        record(&w, key, mv_holder_pack(&h));
-        g_snprintf(key, sizeof key, K_SHARD "%u", (unsigned)i);
-        shard_of(&w, key, h.node, 7 + i, 4 + i);
-    }
+    lead(&w, 3);
     mv_core_synced(w.core, w.now);
     bool handed_on = false;
     for (int i = 0; i < 500; i++) {
