--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -201,6 +201,8 @@
     shard *shard;                  /* where the jobs of a team with a limit or guarantee belong */
     double used_cores, used_cards; /* placements */
     double soon_used, soon_size;   /* by work that must start soon: now, and a usual job */
+    mv_urgency soon_urgency;       /* of the latest such job */
+    double yielding_cores;         /* by its tasks with checkpoints that give way to such a job */
     double stopping_cores;         /* by tasks that were told to stop */
     double promised_cores, held_cores; /* within a round */
     double service_cores;              /* by replicas; counted anew in each round */
--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -77,7 +77,9 @@
     if (j->rush || j->spec.service || mv_waits_long(c, j))
         return 0;
     double keep = MIN(t->soon_size, MV_KEEP_SHARE * t->conf->cpus_max);
-    return MAX(0, keep - t->soon_used);
+    /* Where the team's own work saves its progress, room is made when it is needed: kept free as
+     * well, it left such work waiting for MV_WAITS_LONG_S. */
+    return MAX(0, keep - t->soon_used - t->yielding_cores);
 }
 
 static bool within_limit(const mv_core *c, const job *j)
@@ -382,12 +384,26 @@
 {
     if (!j->rush)
         return;
+    j->team->soon_urgency = j->spec.urgency;
     j->team->soon_used += j->n_placed * j->spec.cores;
     if (!j->counted)
         j->team->soon_size += MV_SOON_SMOOTH * (j->spec.cores * j->spec.tasks - j->team->soon_size);
     j->counted = true;
 }
 
+/* What of the team's own work gives way to such work with little loss. */
+static void note_yielding(const job *j)
+{
+    if (j->spec.mark_every_s > 0 && j->spec.urgency > j->team->soon_urgency)
+        j->team->yielding_cores += j->n_placed * j->spec.cores;
+}
+
+static void forget_sums(team *t)
+{
+    t->soon_used = t->yielding_cores = 0;
+    t->held_cores = t->service_cores = 0;
+}
+
 /* A job is guaranteed when it fits its team's share along with the team's earlier unfinished
  * jobs. */
 static void judge(mv_core *c, GPtrArray *jobs)
@@ -396,7 +412,7 @@
     g_ptr_array_sort(jobs, by_arrival);
     c->large_cores = 0;
     for (size_t i = 0; i < c->conf->n_teams; i++)
-        c->teams[i].soon_used = c->teams[i].held_cores = c->teams[i].service_cores = 0;
+        forget_sums(&c->teams[i]);
     for (guint i = 0; i < jobs->len; i++) {
         job *j = g_ptr_array_index(jobs, i);
         c->large_cores = MAX(c->large_cores, j->spec.cores);
@@ -409,6 +425,7 @@
         j->team->service_cores += j->spec.service ? j->n_placed * j->spec.cores : 0;
         j->work = j->spec.cores * j->waiting->len * run;
         note_soon(j);
+        note_yielding(j);
     }
 }
 
--- a/tests/test_preemption.c
+++ b/tests/test_preemption.c
@@ -8,8 +8,9 @@
 #define SAVE_EVERY_S 20.0
 #define SAVE_S 5.0
 
-/* A batch job of idle priority that fills a machine of 64 cores and saves its progress. */
-static void add_saving_job(world *w)
+/* A batch job of idle priority that fills a machine of 64 cores and saves its progress at this
+ * interval; 0: never. */
+static void add_idle_job(world *w, double save_every_s)
 {
     mv_job spec = {.urgency = MV_IDLE,
                    .tasks = 8,
@@ -17,7 +18,7 @@
                    .ram_gb = 8,
                    .spot = true,
                    .guess_s = 300,
-                   .mark_every_s = SAVE_EVERY_S,
+                   .mark_every_s = save_every_s,
                    .mark_cost_s = SAVE_S,
                    .due_s = -1};
     g_strlcpy(spec.id, "j-000090", sizeof spec.id);
@@ -43,7 +44,7 @@
     world_blocks(&w);
     mv_core_synced(w.core, w.now);
     world_pass(&w, 3);
-    add_saving_job(&w);
+    add_idle_job(&w, SAVE_EVERY_S);
     world_pass(&w, ran);
     g_assert_cmpuint(world_running_on(&w, 0), ==, 8);
     g_assert_cmpuint(w.stops, ==, 0);
@@ -65,9 +66,38 @@
     g_assert_cmpfloat(time_to_save(15, SAVE_EVERY_S + 3), ==, 0);
 }
 
+/* How much of a team's limit of 40 cores its idle work takes, where urgent jobs usually ask for
+ * more than is kept free. */
+static double taken_by_idle(double save_every_s)
+{
+    world w = {.machines = 1, .report_s = 1};
+    world_make(&w);
+    world_start(&w);
+    w.conf->teams[0].cpus_max = 40;
+    world_grant(&w, 5);
+    world_blocks(&w);
+    mv_core_synced(w.core, w.now);
+    world_pass(&w, 3);
+    w.core->teams[0].soon_size = 40;
+    w.core->teams[0].soon_urgency = MV_HIGH;
+    add_idle_job(&w, save_every_s);
+    world_pass(&w, 5);
+    double taken = w.core->teams[0].used_cores;
+    world_free(&w);
+    return taken;
+}
+
+/* A part of the limit is kept free for urgent work only where nothing gives way to it cheaply. */
+static void limit_is_used_by_what_yields(void)
+{
+    g_assert_cmpfloat(taken_by_idle(0), ==, 32);
+    g_assert_cmpfloat(taken_by_idle(SAVE_EVERY_S), ==, 40);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/preemption/saves-only-in-time", saves_only_in_time);
+    g_test_add_func("/preemption/limit-is-used-by-what-yields", limit_is_used_by_what_yields);
     return g_test_run();
 }
