--- a/src/bookkeeping/settings.c
+++ b/src/bookkeeping/settings.c
@@ -189,10 +189,11 @@
     s->report_s = number(r, "settings.workers.report_s", 0.05, 3600, NAN);
     s->lease_s = number(r, "settings.workers.lease_s", 0.5, 86400, NAN);
     s->cancel_s = number(r, "settings.workers.cancel_s", 0.5, 86400, NAN);
-    if (!r->failed && s->cancel_s <= s->lease_s)
+    if (!r->failed && mv_settings_cancel_bound(s) >= s->cancel_s)
         fail(r, "settings.workers.cancel_s",
-             "must exceed lease_s: a worker that is cut off keeps "
-             "its tasks that long");
+             "must exceed lease_s by over 4 s: cut off from a cancellation, a controller may act "
+             "for "
+             "its block lease, and after that a worker for its own");
     s->state_rps = number(r, "settings.state.rps", 1, 1e6, NAN);
     s->state_write_rps = number(r, "settings.state.write_rps", 1, 1e6, NAN);
     s->value_kb = number(r, "settings.state.value_kb", 1, 1e6, NAN);
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -9,6 +9,24 @@
 const char *const TEAMS[3] = {"red", "green", "blue"};
 const double LIMITS[3] = {64, 40, 0};
 
+static const sim_deployment OWN = {.name = "own",
+                                   .report_s = 1,
+                                   .lease_s = 12,
+                                   .cancel_s = 30,
+                                   .state_rps = 100,
+                                   .state_write_rps = 50,
+                                   .value_kb = 16,
+                                   .txn_ops = 12,
+                                   .cloud_rps = 10,
+                                   .list_lag_s = 6,
+                                   .save_every_s = 10,
+                                   .save_s = 3};
+
+static const sim_deployment *deployment_of(const sim_plan *plan)
+{
+    return plan->deployment ? plan->deployment : &OWN;
+}
+
 /* --- events --- */
 
 static gint by_time(gconstpointer a, gconstpointer b, gpointer data)
@@ -86,6 +104,7 @@
         .ram_gb = 1,
         .run_s = (j->service ? 1e9 : j->run_s) *
                  (!j->service && s->plan->far_ends > 0 && task == 0 ? s->plan->far_ends : 1),
+        .save_s = j->saves ? deployment_of(s->plan)->save_s : 0,
         .known = true,
         .fails = j->fails};
 }
@@ -107,7 +126,12 @@
 
 static GBytes *job_record(const sim *s, const sim_job *j)
 {
-    mv_job spec = {.urgency = j->rush ? MV_HIGH : MV_STANDARD,
+    const sim_deployment *d = deployment_of(s->plan);
+    mv_job spec = {.urgency = j->rush    ? MV_HIGH
+                              : j->saves ? MV_IDLE
+                                         : MV_STANDARD,
+                   .mark_every_s = j->saves ? d->save_every_s : 0,
+                   .mark_cost_s = j->saves ? d->save_s : 0,
                    .tasks = j->tasks,
                    .cores = j->cores,
                    .ram_gb = 1};
@@ -215,6 +239,7 @@
         j.together = s->plan->small_zone && sim_chance(s, 0.3);
         j.apart = s->plan->small_zone && !j.together && sim_chance(s, 0.4);
         j.rush = s->plan->rush > 0 && sim_chance(s, s->plan->rush);
+        j.saves = !j.rush && s->plan->saves > 0 && sim_chance(s, s->plan->saves);
         j.service = s->plan->services > 0 && sim_chance(s, s->plan->services);
         if (j.service) {
             j.tasks = 1 + j.tasks % 4;
@@ -260,15 +285,16 @@
     c->objectives = g_new0(mv_objective, 1);
     c->objectives[0] = (mv_objective){.kind = MV_OBJ_WAIT, .within_s = 2, .share = 0.9};
     g_strlcpy(c->objectives[0].class_name, "rush", MV_NAME_SIZE);
-    c->report_s = 1;
-    c->lease_s = 12;
-    c->cancel_s = 30;
-    c->state_rps = 100;
-    c->state_write_rps = 50;
-    c->value_kb = 16;
-    c->txn_ops = 12;
-    c->cloud_rps = 10;
-    c->list_lag_s = 6;
+    const sim_deployment *d = deployment_of(plan);
+    c->report_s = d->report_s;
+    c->lease_s = d->lease_s;
+    c->cancel_s = d->cancel_s;
+    c->state_rps = d->state_rps;
+    c->state_write_rps = d->state_write_rps;
+    c->value_kb = d->value_kb;
+    c->txn_ops = d->txn_ops;
+    c->cloud_rps = d->cloud_rps;
+    c->list_lag_s = d->list_lag_s;
     c->tune = (mv_tunables){.image_wait_s = MV_IMAGE_WAIT_S,
                             .block_lease_s = MV_BLOCK_LEASE_S,
                             .idle_return_s = 10,
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -21,7 +21,19 @@
     SIM_MOVED_REPLICAS       /* replicas that ran when their machine got its notice */
 } sim_meeting;
 
+/* What the settings of a deployment say of times and limits. */
 typedef struct {
+    const char *name;
+    double report_s, lease_s, cancel_s;
+    double state_rps, state_write_rps, value_kb;
+    unsigned txn_ops;
+    double cloud_rps, list_lag_s;
+    double save_every_s, save_s; /* of jobs that save their progress */
+} sim_deployment;
+
+typedef struct {
+    const sim_deployment *deployment; /* NULL: the simulation's own times and limits */
+    double saves;                     /* share of jobs that save their progress, of idle priority */
     double crash, all_crash, state_cut, worker_cut, outage, die,
         machine_cut;      /* mean seconds between; 0: never */
     double machine_deaf;  /* reports arrive, answers and commands do not */
--- a/tests/sim_checks.c
+++ b/tests/sim_checks.c
@@ -11,8 +11,8 @@
 {
     return !p->hold && !p->lose && !p->state_cut && !p->worker_cut && !p->machine_cut &&
            !p->outage && !p->machine_deaf && !p->isolate && !p->machine_blink && !p->copies &&
-           !p->rush && !p->machine_mute && !p->machine_hang && !p->zone_cut && !p->gap &&
-           !p->slow_state && !p->services && !p->notice && !p->relist;
+           !p->rush && !p->saves && !p->machine_mute && !p->machine_hang && !p->zone_cut &&
+           !p->gap && !p->slow_state && !p->services && !p->notice && !p->relist;
 }
 
 static void check_worker(sim *s, st_worker *w, GHashTable *on, double *used)
--- a/tests/sim_internal.h
+++ b/tests/sim_internal.h
@@ -48,7 +48,7 @@
     int team;
     unsigned tasks;
     double cores, run_s;
-    bool spot, accepted, cancelled, fails, rush, together, apart;
+    bool spot, accepted, cancelled, fails, rush, saves, together, apart;
     bool service, was_up;
     double idle_from, unknown_from; /* waits though there is room; no controller knows it */
     bool at_end;                    /* called off as its last task ends */
--- a/tests/standins.c
+++ b/tests/standins.c
@@ -272,7 +272,7 @@
         g_strlcpy(p->job, t->job, sizeof p->job);
         p->index = t->index;
         p->attempt = t->attempt;
-        p->status = t->status == ST_ENDED ? MV_ENDED : MV_RUNNING;
+        p->status = t->status == ST_ENDED ? MV_ENDED : t->saving ? MV_SAVING : MV_RUNNING;
         p->cause = t->status == ST_ENDED ? t->cause : MV_WHY_NONE;
     }
     w->changed = false;
@@ -310,6 +310,7 @@
     t->status = ST_ENDED;
     t->cores = f.cores;
     t->ram_gb = f.ram_gb;
+    t->save_s = f.save_s;
     g_ptr_array_add(w->tasks, t);
     w->changed = true;
     if (!f.known) {
@@ -333,6 +334,18 @@
     }
 }
 
+/* A task that saves is gone only once it has, unless it gets no time for that. */
+static void stop(st_task *t, double wind_down, double now)
+{
+    t->cause = MV_WHY_STOPPED;
+    if (t->save_s <= 0 || wind_down < t->save_s) {
+        t->status = ST_ENDED;
+    } else if (!t->saving) {
+        t->saving = true;
+        t->until = now + t->save_s;
+    }
+}
+
 void st_worker_orders(st_worker *w, const GArray *orders, double now, st_facts facts, void *ctx)
 {
     for (guint i = 0; orders && i < orders->len; i++) {
@@ -342,8 +355,7 @@
         if (o->verb == MV_LAUNCH) {
             launch(w, o, now, facts, ctx);
         } else if (t && same && o->verb == MV_STOP && t->status != ST_ENDED) {
-            t->status = ST_ENDED;
-            t->cause = MV_WHY_STOPPED;
+            stop(t, o->wind_down_s, now);
             w->changed = true;
         } else if (t && same && o->verb == MV_CLEAR && t->status == ST_ENDED) {
             g_ptr_array_remove(w->tasks, t);
--- a/tests/standins.h
+++ b/tests/standins.h
@@ -54,6 +54,8 @@
     mv_cause cause;
     double began, until; /* its run */
     double cores, ram_gb;
+    double save_s; /* time it takes to save when it is stopped; 0: it does not save */
+    bool saving;   /* it was told to stop, and counts as running until it has saved */
 } st_task;
 
 typedef struct {
@@ -73,7 +75,7 @@
 } st_worker;
 
 typedef struct {
-    double cores, ram_gb, run_s;
+    double cores, ram_gb, run_s, save_s;
     bool known, fails;
 } st_task_facts;
 typedef st_task_facts (*st_facts)(void *ctx, const char *job, uint32_t task);
--- /dev/null
+++ b/tests/test_deployments.c
@@ -0,0 +1,124 @@
+/* The troubles that a deployment's operators expect, simulated with the times and limits of its
+ * settings: each by itself, then together. Every rule is checked after each step. */
+#include "sim.h"
+
+#include "coordination/internal.h"
+
+mv_guard mv_broken_guard = MV_GUARD_NONE;
+
+/* Short leases, small transactions, work that saves its progress. */
+static const sim_deployment TUPELO = {.name = "Tupelo",
+                                      .report_s = 1.5,
+                                      .lease_s = 10,
+                                      .cancel_s = 30,
+                                      .state_rps = 100,
+                                      .state_write_rps = 15,
+                                      .value_kb = 8,
+                                      .txn_ops = 8,
+                                      .cloud_rps = 8,
+                                      .list_lag_s = 3,
+                                      .save_every_s = 20,
+                                      .save_s = 5};
+
+static const sim_plan BASE = {.deployment = &TUPELO,
+                              .saves = 0.4,
+                              .rush = 0.3,
+                              .cancel = 0.1,
+                              .until = 160,
+                              .settle = 900,
+                              .shards = 1,
+                              .jobs = 40};
+
+/* With one shard and with three. */
+static void expect_sound(sim_plan plan, guint32 from)
+{
+    for (guint32 seed = from; seed < from + 12; seed++) {
+        plan.shards = seed % 2 ? 1 : 3;
+        g_autofree char *broken = sim_run(seed, &plan);
+        if (broken)
+            g_error("seed %u: %s", seed, broken);
+    }
+}
+
+static void quiet(void)
+{
+    expect_sound(BASE, 1);
+}
+
+static void machines(void) /* late, silent, dying, slow to answer */
+{
+    sim_plan plan = BASE;
+    plan.die = 12;
+    plan.machine_cut = 15;
+    plan.machine_hang = 10;
+    plan.notice = 10;
+    expect_sound(plan, 101);
+}
+
+static void controllers(void) /* one, all, one after the other, within a fraction of a second */
+{
+    sim_plan plan = BASE;
+    plan.crash = 20;
+    plan.all_crash = 60;
+    plan.blink = 30;
+    expect_sound(plan, 201);
+}
+
+static void cuts(void) /* from the state service, the workers, everything but the workers */
+{
+    sim_plan plan = BASE;
+    plan.state_cut = 20;
+    plan.worker_cut = 25;
+    plan.isolate = 45;
+    expect_sound(plan, 301);
+}
+
+static void state_service(void) /* out, slow, its answers lost or late */
+{
+    sim_plan plan = BASE;
+    plan.outage = 30;
+    plan.slow_state = 0.2;
+    plan.lose = plan.hold = 0.03;
+    expect_sound(plan, 401);
+}
+
+static void refusal_then_outage(void) /* for longer than cancel_s */
+{
+    sim_plan plan = BASE;
+    plan.gap = 45;
+    plan.cancel = 0.5;
+    expect_sound(plan, 501);
+    plan.sharp_gap = true;
+    expect_sound(plan, 551);
+}
+
+static void everything(void)
+{
+    sim_plan plan = BASE;
+    plan.crash = 35;
+    plan.state_cut = 40;
+    plan.worker_cut = 50;
+    plan.outage = 60;
+    plan.die = 25;
+    plan.machine_cut = 30;
+    plan.machine_deaf = 40;
+    plan.notice = 25;
+    plan.copies = 0.1;
+    plan.lose = plan.hold = 0.02;
+    plan.slow = 0.05;
+    plan.settle = 1500;
+    expect_sound(plan, 601);
+}
+
+int main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/tupelo/quiet", quiet);
+    g_test_add_func("/tupelo/machines", machines);
+    g_test_add_func("/tupelo/controllers", controllers);
+    g_test_add_func("/tupelo/cuts", cuts);
+    g_test_add_func("/tupelo/state-service", state_service);
+    g_test_add_func("/tupelo/refusal-then-outage", refusal_then_outage);
+    g_test_add_func("/tupelo/everything", everything);
+    return g_test_run();
+}
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -82,6 +82,28 @@
     mv_settings_free(s);
 }
 
+/* The times of the three deployments: the bound of a cancellation is the sum of its terms and stays
+ * below cancel_s, which leaves each of them a block lease of more than a few sessions. */
+static void cancel_bounds(void)
+{
+    static const struct {
+        const char *name;
+        double lease_s, cancel_s, block_lease_s;
+    } deployments[] = {{"Pine Bluff", 32, 62, 25}, {"Sapporo", 27, 47, 15}, {"Tupelo", 10, 30, 15}};
+    for (size_t i = 0; i < G_N_ELEMENTS(deployments); i++) {
+        mv_settings conf = {.lease_s = deployments[i].lease_s,
+                            .cancel_s = deployments[i].cancel_s,
+                            .tune.block_lease_s = MV_BLOCK_LEASE_S};
+        double worker = conf.lease_s * (1 + MV_CLOCK_DRIFT);
+        double sum = deployments[i].block_lease_s + worker + MV_KILL_S;
+        g_test_message("%s: %.2f of %.0f s", deployments[i].name, sum, conf.cancel_s);
+        g_assert_cmpfloat(mv_settings_block_lease(&conf), ==, deployments[i].block_lease_s);
+        g_assert_cmpfloat(mv_settings_cancel_bound(&conf), ==, sum);
+        g_assert_cmpfloat(sum, <, conf.cancel_s);
+        g_assert_cmpfloat(deployments[i].block_lease_s, >, 3 * MV_SESSION_TTL_S);
+    }
+}
+
 /* Replaces a line that starts with `from`; NULL: removes it. */
 static char *with_line(const char *from, const char *to)
 {
@@ -120,6 +142,7 @@
         {"report_s", NULL, "settings.workers.report_s"},
         {"lease_s", "lease_s = nan", "settings.workers.lease_s"},
         {"lease_s", "lease_s = 50.0", "settings.workers.cancel_s"},
+        {"cancel_s", "cancel_s = 31.0", "settings.workers.cancel_s"}, /* lease and kill: 31.01 */
         {"txn_ops", "txn_ops = 0", "settings.state.txn_ops"},
         {"rps", "rps = 0.0", "settings.state.rps"},
         {"list_lag_s", "list_lag_s = inf", "settings.cloud.list_lag_s"},
@@ -187,6 +210,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/settings/good", good);
+    g_test_add_func("/settings/cancel-bounds", cancel_bounds);
     g_test_add_func("/settings/bad-platform", bad_platform);
     g_test_add_func("/settings/limits-to-come", limits_to_come);
     g_test_add_func("/settings/operators", operators);
