A demand for 4,000 machines fits a message between controllers; take-over tested at 4,000

The take-over test runs at 1,850 as before and at 4,000 with its bound on looks grown as the fleet, no faster.

--- a/src/constants.h
+++ b/src/constants.h
@@ -198,10 +198,12 @@
 #define MV_CLIENT_CONNECTIONS 60        /* connections a thread keeps open: its lane's machines */
 #define MV_CLIENT_LEAST 2               /* and at least, however few sockets there are */
 #define MV_CONNECT_TIMEOUT_MS 1000      /* nothing is further away than this */
-#define MV_MAX_FRAME (256 * 1024)       /* bytes of a message between controllers */
-#define MV_PEER_CONNECTIONS 64          /* connections from peers, old ones included */
-#define MV_FINAL_CACHE 20000            /* finished jobs kept in memory, about 100 bytes each */
-#define MV_STATUS_MACHINES 60u          /* more than these are counted by kind, not listed */
-#define MV_LOG_REPEAT_S 5.0             /* a repeating message is printed once in this time */
+#define MV_MAX_FRAME                                                                               \
+    (1024 * 1024)              /* bytes of a message between controllers: a demand takes           \
+                                  about 100 for each machine of a block */
+#define MV_PEER_CONNECTIONS 64 /* connections from peers, old ones included */
+#define MV_FINAL_CACHE 20000   /* finished jobs kept in memory, about 100 bytes each */
+#define MV_STATUS_MACHINES 60u /* more than these are counted by kind, not listed */
+#define MV_LOG_REPEAT_S 5.0    /* a repeating message is printed once in this time */
 
 #endif
--- a/tests/core_world.h
+++ b/tests/core_world.h
@@ -6,7 +6,7 @@
 
 #include "coordination/internal.h"
 
-#define MACHINES 1850
+#define MACHINES 4000
 #define JOBS 120
 #define TASKS 60
 
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -405,6 +405,34 @@
     mv_demand_free(d);
 }
 
+/* One block may hold the whole fleet; its holder tells the leader of each machine in one message.
+ */
+static void demand_of_largest_fleet(void)
+{
+    mv_demand *d = g_new0(mv_demand, 1);
+    g_strlcpy(d->node, "n1", sizeof d->node);
+    d->term = 1 << 20;
+    d->wants = g_array_new(FALSE, TRUE, sizeof(mv_want));
+    d->notes = g_array_new(FALSE, TRUE, sizeof(mv_note));
+    for (unsigned i = 0; i < 4000; i++) {
+        mv_note note = {.idle_s = 0.1,
+                        .silent_s = 0.1,
+                        .used_cores = 31.5,
+                        .used_ram = 63.5,
+                        .kept_cores = 1.5,
+                        .kept_ram = 1.5,
+                        .offer = 1 << 30};
+        g_snprintf(note.id, sizeof note.id, "vm-%06u", i);
+        note.fence = note.give_back = note.lost = note.up = true;
+        note.heard = note.leaving = note.vacated = true;
+        g_array_append_val(d->notes, note);
+    }
+    g_autoptr(GBytes) packed = mv_demand_pack(d);
+    mv_demand_free(d);
+    g_test_message("%zu bytes", g_bytes_get_size(packed));
+    g_assert_cmpuint(g_bytes_get_size(packed), <=, MV_MAX_FRAME);
+}
+
 static void job_ids(void)
 {
     g_assert_true(mv_job_id_valid("j-000412"));
@@ -428,6 +456,7 @@
     g_test_add_func("/codec/reports", reports);
     g_test_add_func("/codec/old-records", old_records);
     g_test_add_func("/codec/demands", demands);
+    g_test_add_func("/codec/demand-of-largest-fleet", demand_of_largest_fleet);
     g_test_add_func("/codec/ids", job_ids);
     return g_test_run();
 }
--- a/tests/test_size.c
+++ b/tests/test_size.c
@@ -1,5 +1,5 @@
-/* The core at full size: one controller takes over a fleet of 1,850 machines with thousands of
- * tasks. Work is bounded by counting, not by time. */
+/* The core at full size: one controller takes over a fleet of 1,850 and of 4,000 machines with
+ * thousands of tasks. Work is bounded by counting, not by time. */
 #include "core_world.h"
 
 #include "protocol/names.h"
@@ -18,9 +18,9 @@
     return false;
 }
 
-static void take_over(void)
+static void take_over_fleet(unsigned machines, unsigned looks)
 {
-    world w = {.machines = MACHINES, .report_s = 5};
+    world w = {.machines = machines, .report_s = 5};
     world_make(&w);
     world_start(&w);
     world_grant(&w, 5);
@@ -33,7 +33,7 @@
     mv_core_counts n;
     mv_core_counts_get(w.core, &n);
     g_test_message("%" G_GUINT64_FORMAT " machines looked at for %u tasks", n.looked, w.launches);
-    g_assert_cmpuint(n.looked, <, 60 * w.launches); /* one by one: 1,850 for each */
+    g_assert_cmpuint(n.looked, <, looks * w.launches); /* one by one: all for each */
     g_assert_cmpuint(mv_unlike_plain, ==, 0);
     /* The holder ends; another process of that name takes over under a new term. */
     mv_core_free(w.core);
@@ -49,10 +49,21 @@
     g_assert_cmpuint(w.launches, ==, JOBS * TASKS); /* nothing is started twice */
     mv_core_counts_get(w.core, &n);
     g_assert_cmpuint(n.running, ==, JOBS * TASKS);
-    g_assert_cmpuint(w.commands - before, <, 2 * MACHINES);
+    g_assert_cmpuint(w.commands - before, <, 2 * machines);
     world_free(&w);
 }
 
+static void take_over(void)
+{
+    take_over_fleet(1850, 60);
+}
+
+/* The largest fleet in use; the looks at machines for each task grow no faster than the fleet. */
+static void take_over_largest(void)
+{
+    take_over_fleet(MACHINES, 60 * MACHINES / 1850);
+}
+
 /* Small jobs always wait, more than the fleet can do; the first task of a large one must begin all
  * the same. Seconds until it did; 0: never within the time. */
 static double wait_of_large_job(void)
@@ -266,6 +277,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/size/take-over", take_over);
+    g_test_add_func("/size/take-over-largest", take_over_largest);
     g_test_add_func("/size/large-job-begins", large_job_begins);
     g_test_add_func("/size/guard-starved", guard_starved);
     g_test_add_func("/size/late-launch", late_launch);
