Once no jobs come, machines beyond the work are drained and returned

Once no job has come for a boot time, the most wasteful machines are used last and returned after 10 s idle, and tasks that save move off them.

--- a/src/constants.h
+++ b/src/constants.h
@@ -134,6 +134,13 @@
 #define MV_PARTS_AT_ONCE 7u /* parts of a block in one transaction: 64 KiB hold nine */
 #define MV_DEMAND_OLD_S 4.0 /* older demands are not acted upon */
 
+/* --- consolidation --- */
+#define MV_DRAIN_AT_ONCE 8u    /* machines that begin to drain in one look */
+#define MV_DRAIN_SPARE 0.2     /* of the cores in use are kept free on the others */
+#define MV_START_COUNTS_S 30.0 /* PROTOCOL: a start counts if the task is not stopped sooner */
+#define MV_MOVE_WORTH 1.5      /* times its time to save that a moved task has to run yet */
+#define MV_MOVES_AT_ONCE 32u   /* tasks looked at for a move in one look */
+
 /* --- fleet, seconds --- */
 #define MV_FENCE_AFTER_S 10.0   /* launches without an answer are fenced off by a new term */
 #define MV_RELEASED_KEEP_S 60.0 /* a released machine is not adopted again from a late list */
--- a/src/coordination/demand.c
+++ b/src/coordination/demand.c
@@ -121,10 +121,13 @@
     return t && t->cores > 0 ? (m->spot ? t->market : t->rate) / t->cores : 0;
 }
 
-/* How long an idle machine is kept: the dearer, the shorter. The cheapest of the cloud is kept for
- * the full time, for it costs little and takes long to boot again. */
+/* How long an idle machine is kept: the dearer, the shorter; least, once it is drained. The
+ * cheapest of the cloud is kept for the full time, for it costs little and takes long to boot
+ * again. */
 static double idle_time(const mv_core *c, const machine *m)
 {
+    if (m->draining)
+        return MV_IDLE_LEAST_S;
     double cheapest = 0, own = price_per_core(c, m);
     for (guint i = 0; c->types && i < c->types->len; i++) {
         const mv_type *t = &g_array_index(c->types, mv_type, i);
@@ -245,6 +248,7 @@
             continue;
         s->demand_at = c->now;
         mv_note_reserve(c, s);
+        mv_consolidate(c, s);
         offer_idle(c, s);
         mv_vacate_machine(c, s);
         offer_machines(c, s);
--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -133,6 +133,8 @@
     /* judgement */
     double idle_since;
     bool give_back, faulty, lost;
+    bool draining; /* not needed for the present work: gets a task only where no other has room */
+    double draining_since;
     bool vacate;    /* it is emptied for services of other shards */
     uint64_t offer; /* stamp of the record of its use when it was offered to others; 0: not */
     double no_room_until, watched_at;
@@ -236,7 +238,8 @@
     double heard_at; /* of any of its machines */
     txn_slot used_txn;
     double recorded_at;
-    double demand_at; /* last sent */
+    double job_came_at; /* the last job that has its home here */
+    double demand_at;   /* last sent */
     /* the leader's */
     txn_slot block_txn;
     GArray *adds;         /* mv_member */
@@ -479,6 +482,8 @@
 void mv_note_reserve(mv_core *c, shard *s);
 bool mv_can_spare(const mv_core *c, shard *s, const machine *m);
 void mv_vacate_machine(mv_core *c, shard *s);
+/* consolidation.c */
+void mv_consolidate(mv_core *core, const shard *block);
 /* blocks.c */
 bool mv_block_change(mv_core *c, shard *s);
 void mv_block_settle(mv_core *c, shard *s);
--- a/src/coordination/jobs.c
+++ b/src/coordination/jobs.c
@@ -135,6 +135,7 @@
     j->spec = *spec; /* takes its list */
     j->stamp = stamp;
     j->home = mv_shard_get(c, home);
+    j->home->job_came_at = c->now;
     j->image = mv_number_of(c->images, spec->image_name);
     j->in_zone = g_array_new(FALSE, TRUE, sizeof(unsigned));
     j->accepted_at = mv_from_wall(c, at);
--- a/src/coordination/machines.c
+++ b/src/coordination/machines.c
@@ -48,7 +48,7 @@
     m->unknown_tasks = 0;
     if (m->shard && m->confirmed && !m->used)
         mv_block_part(m->shard, m->part)->unrecorded--;
-    m->confirmed = m->fresh = m->give_back = m->lost = m->vacate = false;
+    m->confirmed = m->fresh = m->give_back = m->lost = m->vacate = m->draining = false;
     mv_forget_command(c, m);
     m->command_fails = m->proofs = 0;
     mv_delivered(m);
--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -159,12 +159,13 @@
     return MIN(limit, fetch_time(c, j, m));
 }
 
-/* What a machine is worth to a task: that it keeps pace with its fellows, then its image's bytes
- * cached there, then, for work that must start soon, how quickly it could be fetched, then, for a
- * task smaller than others about, how little room would be left. Strictly in turn, two-core tasks
- * came to sit on every machine and tasks of a machine's size fitted nowhere, with half of the cores
- * free. */
+/* What a machine is worth to a task: that it keeps pace with its fellows and is not being drained,
+ * then its image's bytes cached there, then, for work that must start soon, how quickly it could be
+ * fetched, then, for a task smaller than others about, how little room would be left. Strictly in
+ * turn, two-core tasks came to sit on every machine and tasks of a machine's size fitted nowhere,
+ * with half of the cores free. */
 typedef struct {
+    bool draining;     /* not needed for the present work */
     bool last;         /* slower than its fellows, or a task of this job failed there */
     bool spared;       /* of a type that others who wait cannot do without, and this job can */
     bool brief;        /* for a service: a machine that the cloud may take back */
@@ -201,7 +202,8 @@
 {
     bool failed_here =
         g_hash_table_size(m->failed_jobs) && g_hash_table_contains(m->failed_jobs, j->spec.id);
-    worth w = {.last = mv_is_slow(m) || failed_here,
+    worth w = {.draining = m->draining && !j->spec.service,
+               .last = mv_is_slow(m) || failed_here,
                .spared = (j->home->needed >> m->type & 1) && (j->types & ~j->home->needed),
                .bytes = mv_has_image(m, j->image) ? MAX(j->spec.pull_gb, MV_ROUNDING) : 0};
     if (j->spec.service) {
@@ -220,6 +222,8 @@
 {
     if (a->last != b->last)
         return b->last;
+    if (a->draining != b->draining)
+        return b->draining;
     if (a->spared != b->spared)
         return b->spared;
     if (a->brief != b->brief)
@@ -264,7 +268,8 @@
         machine *m = g_ptr_array_index(c->open, i);
         if (m->shard != j->home || !mv_allowed_on(c, j, m))
             continue;
-        *cached = *cached || mv_has_image(m, j->image);
+        /* A drained machine is used last: no task waits for room on it. */
+        *cached = *cached || (!m->draining && mv_has_image(m, j->image));
         if (!has_room(c, j, m))
             continue;
         candidate x = {
