--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -459,15 +459,37 @@
 bool mv_allowed_on(const mv_core *c, job *j, const machine *m);
 uint32_t mv_type_mask(const mv_core *c, const mv_job *spec);
 uint32_t mv_job_types(const mv_core *c, job *j);
+/* worth.c */
+/* What a machine is worth to a task: that it keeps pace with its fellows and is not being drained,
+ * then its image's bytes cached there, then, for work that must start soon, how quickly it could be
+ * fetched, then, for a task smaller than others about, how little room would be left. Strictly in
+ * turn, two-core tasks came to sit on every machine and tasks of a machine's size fitted nowhere,
+ * with half of the cores free. */
+typedef struct {
+    bool draining;     /* not needed for the present work */
+    bool last;         /* slower than its fellows, or a task of this job failed there */
+    bool spared;       /* of a type that others who wait cannot do without, and this job can */
+    bool brief;        /* for a service: a machine that the cloud may take back */
+    bool crowded;      /* half of its replicas are there: one loss is to take few of them */
+    bool slow;         /* its image would take longer to come than a start may */
+    unsigned replicas; /* how many of its replicas are there */
+    double bytes, left;
+    int fetch; /* in steps that matter */
+} mv_worth;
+mv_worth mv_worth_of(const mv_core *c, const job *j, const machine *m);
+/* Whether a machine of worth `a` comes before one of worth `b`. */
+bool mv_better(const mv_worth *a, const mv_worth *b);
+/* Seconds that a task may wait for a machine with its image rather than start on this one. */
+double mv_image_wait(const mv_core *c, const job *j, const machine *m);
+double mv_fetch_left(const mv_core *c, const job *j, const machine *m);
+double mv_start_aim(const mv_core *c, const job *j);
 /* placement.c */
 void mv_place_round(mv_core *c);
 void mv_note_placed(mv_core *c, machine *m, job *j, placement *p);
 bool mv_comes_first(const job *j);
 machine *mv_room_for(const mv_core *c, job *j);
-double mv_fetch_left(const mv_core *c, const job *j, const machine *m);
 bool mv_waits_long(const mv_core *c, const job *j);
 bool mv_aims_at_class(const mv_objective *o, mv_objective_kind kind, const job *j);
-double mv_start_aim(const mv_core *c, const job *j);
 /* preemption.c */
 mv_room mv_coming_room(const mv_core *c, const machine *m);
 bool mv_fits(const job *j, const mv_room *room);
--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -133,128 +133,18 @@
     return mv_fits(j, &now) && mv_fits(j, &later);
 }
 
-/* The shortest time within which an aim wants this job's tasks started; G_MAXDOUBLE: none. */
-double mv_start_aim(const mv_core *c, const job *j)
-{
-    double aim = j->rush_aim;
-    for (size_t i = 0; j->guaranteed && i < c->conf->n_objectives; i++) {
-        const mv_objective *o = &c->conf->objectives[i];
-        if (o->kind == MV_OBJ_GUARANTEE)
-            aim = MIN(aim, o->within_s);
-    }
-    return aim;
-}
-
-static double fetch_time(const mv_core *c, const job *j, const machine *m)
-{
-    const mv_type *t = mv_type_of(c, m);
-    return t && t->pull_rate > 0 ? j->spec.pull_gb / t->pull_rate : 0;
-}
-
-/* Waiting for a cached image longer than fetching it here would take can gain nothing, and work
- * that should start within seconds has few to give away. */
-static double image_wait(const mv_core *c, const job *j, const machine *m)
-{
-    double limit = MIN(c->conf->tune.image_wait_s, MV_START_SHARE * mv_start_aim(c, j));
-    return MIN(limit, fetch_time(c, j, m));
-}
-
-/* What a machine is worth to a task: that it keeps pace with its fellows and is not being drained,
- * then its image's bytes cached there, then, for work that must start soon, how quickly it could be
- * fetched, then, for a task smaller than others about, how little room would be left. Strictly in
- * turn, two-core tasks came to sit on every machine and tasks of a machine's size fitted nowhere,
- * with half of the cores free. */
-typedef struct {
-    bool draining;     /* not needed for the present work */
-    bool last;         /* slower than its fellows, or a task of this job failed there */
-    bool spared;       /* of a type that others who wait cannot do without, and this job can */
-    bool brief;        /* for a service: a machine that the cloud may take back */
-    bool crowded;      /* half of its replicas are there: one loss is to take few of them */
-    bool slow;         /* its image would take longer to come than a start may */
-    unsigned replicas; /* how many of its replicas are there */
-    double bytes, left;
-    int fetch; /* in steps that matter */
-} worth;
-
-/* Seconds until the image would be there; a fetch that is under way for another task counts. */
-double mv_fetch_left(const mv_core *c, const job *j, const machine *m)
-{
-    if (mv_has_image(m, j->image))
-        return 0;
-    double left = fetch_time(c, j, m);
-    for (guint i = 0; i < m->placements->len; i++) {
-        const placement *p = g_ptr_array_index(m->placements, i);
-        if (p->of && p->running_at == 0 && p->of->image == j->image)
-            left = MIN(left, MAX(0, left - (c->now - p->placed_at)));
-    }
-    return left;
-}
-
-static unsigned replicas_on(const job *j, const machine *m)
-{
-    unsigned n = 0;
-    for (guint i = 0; i < m->placements->len; i++)
-        n += ((const placement *)g_ptr_array_index(m->placements, i))->of == j;
-    return n;
-}
-
-static worth worth_of(const mv_core *c, const job *j, const machine *m)
-{
-    bool failed_here =
-        g_hash_table_size(m->failed_jobs) && g_hash_table_contains(m->failed_jobs, j->spec.id);
-    bool soon = mv_starts_soon(c, j);
-    double fetch_left = soon || j->spec.service ? mv_fetch_left(c, j, m) : 0;
-    worth w = {.draining = m->draining && !j->spec.service,
-               .last = mv_is_slow(m) || failed_here,
-               .spared = (j->home->needed >> m->type & 1) && (j->types & ~j->home->needed),
-               .bytes = mv_has_image(m, j->image) ? MAX(j->spec.pull_gb, MV_ROUNDING) : 0};
-    if (j->spec.service) {
-        w.brief = m->spot;
-        w.replicas = replicas_on(j, m);
-        w.crowded = w.replicas >= (j->spec.tasks + 1) / 2;
-        w.slow = fetch_left > mv_start_aim(c, j);
-    }
-    w.fetch = soon ? (int)(fetch_left / MV_FETCH_STEP_S) : 0;
-    if (j->spec.cores < c->large_cores)
-        w.left = mv_free_room(c, m).cores;
-    return w;
-}
-
-static bool better(const worth *a, const worth *b)
-{
-    if (a->last != b->last)
-        return b->last;
-    if (a->draining != b->draining)
-        return b->draining;
-    if (a->spared != b->spared)
-        return b->spared;
-    if (a->brief != b->brief)
-        return b->brief;
-    if (a->crowded != b->crowded)
-        return b->crowded;
-    if (a->slow != b->slow)
-        return b->slow;
-    if (a->replicas != b->replicas)
-        return a->replicas < b->replicas;
-    if (a->bytes != b->bytes)
-        return a->bytes > b->bytes;
-    if (a->fetch != b->fetch)
-        return a->fetch < b->fetch;
-    return a->left < b->left - MV_ROUNDING;
-}
-
 typedef struct {
     machine *m;
-    worth w;
+    mv_worth w;
     guint turn; /* places after the one whose turn it is */
 } candidate;
 
 static gint by_worth(gconstpointer a, gconstpointer b)
 {
     const candidate *x = a, *y = b;
-    if (better(&x->w, &y->w))
+    if (mv_better(&x->w, &y->w))
         return -1;
-    if (better(&y->w, &x->w))
+    if (mv_better(&y->w, &x->w))
         return 1;
     return x->turn < y->turn ? -1 : x->turn > y->turn;
 }
@@ -275,7 +165,7 @@
         if (!has_room(c, j, m))
             continue;
         candidate x = {
-            .m = m, .w = worth_of(c, j, m), .turn = (m->at + n - c->next_in_rotation % n) % n};
+            .m = m, .w = mv_worth_of(c, j, m), .turn = (m->at + n - c->next_in_rotation % n) % n};
         g_array_append_val(out, x);
     }
     g_array_sort(out, by_worth);
@@ -294,13 +184,13 @@
 machine *mv_room_for(const mv_core *c, job *j)
 {
     machine *best = NULL;
-    worth best_worth = {0};
+    mv_worth best_worth = {0};
     for (guint i = 0; i < c->rotation->len; i++) {
         machine *m = g_ptr_array_index(c->rotation, i);
         if (!may_take(c, j, m))
             continue;
-        worth w = worth_of(c, j, m);
-        if (best && !better(&w, &best_worth))
+        mv_worth w = mv_worth_of(c, j, m);
+        if (best && !mv_better(&w, &best_worth))
             continue;
         best = m;
         best_worth = w;
@@ -315,14 +205,14 @@
 static const machine *choose_plainly(mv_core *c, job *j)
 {
     const machine *best = NULL;
-    worth best_worth = {0};
+    mv_worth best_worth = {0};
     guint n = c->rotation->len;
     for (guint k = 0; k < n; k++) {
         const machine *m = g_ptr_array_index(c->rotation, (c->next_in_rotation + k) % n);
         if (c->now < m->no_room_until || !may_take(c, j, m))
             continue;
-        worth w = worth_of(c, j, m);
-        if (best && !better(&w, &best_worth))
+        mv_worth w = mv_worth_of(c, j, m);
+        if (best && !mv_better(&w, &best_worth))
             continue;
         best = m;
         best_worth = w;
@@ -475,7 +365,7 @@
 {
     candidate *first = &g_array_index(list, candidate, from);
     guint to = from, n = c->rotation->len;
-    while (to < list->len && !better(&first->w, &g_array_index(list, candidate, to).w)) {
+    while (to < list->len && !mv_better(&first->w, &g_array_index(list, candidate, to).w)) {
         candidate *x = &g_array_index(list, candidate, to++);
         x->turn = (x->m->at + n - c->next_in_rotation % n) % n;
     }
@@ -517,7 +407,7 @@
         if (i == list->len)
             return;
         const candidate *best = &g_array_index(list, candidate, i);
-        if (cached && best->w.bytes == 0 && c->now < j->ready_at + image_wait(c, j, best->m))
+        if (cached && best->w.bytes == 0 && c->now < j->ready_at + mv_image_wait(c, j, best->m))
             return;
         place(c, j, best->m);
     }
@@ -538,7 +428,7 @@
     g_autoptr(GArray) list = candidates(c, j, &cached);
     for (guint from = 0, to; from < list->len && j->waiting->len > least; from = to) {
         const candidate *first = &g_array_index(list, candidate, from);
-        if (cached && first->w.bytes == 0 && c->now < j->ready_at + image_wait(c, j, first->m))
+        if (cached && first->w.bytes == 0 && c->now < j->ready_at + mv_image_wait(c, j, first->m))
             return; /* a machine that has the image may get room */
         to = group_of(c, list, from);
         if (!fill_group(c, j, list, from, to, least))
--- a/tests/test_meetings.c
+++ b/tests/test_meetings.c
@@ -12,6 +12,7 @@
     unsigned met = 0;
     plan->met = &met;
     sim_expect_sound(plan, from, n);
+    plan->met = NULL;
     g_assert_cmpuint(met, >=, least);
 }
 
