--- a/tests/sim.c
+++ b/tests/sim.c
@@ -379,6 +379,7 @@
     first(&s, plan->state_cut, sim_cut_state);
     first(&s, plan->worker_cut, sim_cut_workers);
     first(&s, plan->outage, sim_outage);
+    first(&s, plan->cloud_outage, sim_cloud_outage);
     first(&s, plan->die, sim_die);
     first(&s, plan->machine_cut, sim_cut_machine);
     first(&s, plan->machine_deaf, sim_deafen);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -56,6 +56,7 @@
     double cancel_at_end; /* share of jobs called off as their last task ends */
     double
         gap; /* the state service refuses the leader, then all for so long; cancellations between */
+    double cloud_outage;     /* the cloud refuses everything for a while */
     double services;         /* share of jobs that are services */
     double roll;             /* all begin as the old version; one after the other comes back new */
     double fall;             /* when the state service's limits fall; new controllers are told */
--- a/tests/sim_internal.h
+++ b/tests/sim_internal.h
@@ -64,7 +64,7 @@
     guint64 seq;
     double now;
     st_state *state;
-    double outage_until;
+    double outage_until, cloud_out_until;
     double stopped_at;     /* when a controller last ended */
     double zone_cut_until; /* until then half of the machines see only one controller */
     guint zone_node;
@@ -153,6 +153,7 @@
 void sim_cut_state(sim *s, gpointer data);
 void sim_cut_workers(sim *s, gpointer data);
 void sim_outage(sim *s, gpointer data);
+void sim_cloud_outage(sim *s, gpointer data);
 void sim_die(sim *s, gpointer data);
 void sim_cut_machine(sim *s, gpointer data);
 void sim_deafen(sim *s, gpointer data);
--- a/tests/sim_outside.c
+++ b/tests/sim_outside.c
@@ -254,10 +254,20 @@
     return false;
 }
 
+/* Whether the cloud is out: it then answers 503 and does nothing. */
+static bool cloud_is_out(sim *s, call *c)
+{
+    if (s->now >= s->cloud_out_until)
+        return false;
+    c->status = 503;
+    sim_later(s, sim_rnd(s, 0.05, 0.3), sim_call_back, c);
+    return true;
+}
+
 void sim_do_rent(sim *s, gpointer data)
 {
     call *c = data;
-    if (put_off_frozen(s, c->n, sim_do_rent, c) || !request_stands(s, c))
+    if (put_off_frozen(s, c->n, sim_do_rent, c) || !request_stands(s, c) || cloud_is_out(s, c))
         return;
     GPtrArray *names = g_hash_table_lookup(s->rentals, c->a->name);
     if (!names && !capacity_left(s, c->a->zone_name)) {
@@ -279,7 +289,7 @@
 void sim_do_release(sim *s, gpointer data)
 {
     call *c = data;
-    if (put_off_frozen(s, c->n, sim_do_release, c) || !request_stands(s, c))
+    if (put_off_frozen(s, c->n, sim_do_release, c) || !request_stands(s, c) || cloud_is_out(s, c))
         return;
     for (guint i = 0; i < c->a->hosts->len; i++) {
         st_worker *w = sim_worker_named(s, g_ptr_array_index(c->a->hosts, i));
@@ -305,6 +315,8 @@
 void sim_do_list(sim *s, gpointer data)
 {
     call *c = data;
+    if (cloud_is_out(s, c))
+        return;
     c->listed = g_array_new(FALSE, TRUE, sizeof(mv_listed));
     for (guint i = 0; i < s->workers->len; i++) {
         const st_worker *w = g_ptr_array_index(s->workers, i);
--- a/tests/sim_troubles.c
+++ b/tests/sim_troubles.c
@@ -54,6 +54,13 @@
         sim_later(s, sim_rnd(s, 0.5, 2) * s->plan->outage, sim_outage, data);
 }
 
+void sim_cloud_outage(sim *s, gpointer data)
+{
+    s->cloud_out_until = s->now + sim_rnd(s, 10, 40);
+    if (s->now < s->plan->until)
+        sim_later(s, sim_rnd(s, 0.5, 2) * s->plan->cloud_outage, sim_cloud_outage, data);
+}
+
 void sim_die(sim *s, gpointer data)
 {
     if (s->workers->len)
--- a/tests/test_deployments.c
+++ b/tests/test_deployments.c
@@ -71,6 +71,16 @@
     sim_expect_sound(&plan, 401, SEEDS);
 }
 
+static void cloud(void) /* out, while machines die and are taken back */
+{
+    sim_plan plan = BASE;
+    plan.cloud_outage = 40;
+    plan.die = 15;
+    plan.notice = 20;
+    plan.crash = 60;
+    sim_expect_sound(&plan, 701, SEEDS);
+}
+
 static void refusal_then_outage(void) /* for longer than cancel_s */
 {
     sim_plan plan = BASE;
@@ -88,6 +98,7 @@
     plan.state_cut = 40;
     plan.worker_cut = 50;
     plan.outage = 60;
+    plan.cloud_outage = 80;
     plan.die = 25;
     plan.machine_cut = 30;
     plan.machine_deaf = 40;
@@ -107,6 +118,7 @@
     g_test_add_func("/tupelo/controllers", controllers);
     g_test_add_func("/tupelo/cuts", cuts);
     g_test_add_func("/tupelo/state-service", state_service);
+    g_test_add_func("/tupelo/cloud", cloud);
     g_test_add_func("/tupelo/refusal-then-outage", refusal_then_outage);
     g_test_add_func("/tupelo/everything", everything);
     return g_test_run();
