--- a/tests/sim.c
+++ b/tests/sim.c
@@ -256,7 +256,10 @@
         }
         j.completed = g_new0(bool, j.tasks);
         g_array_append_val(s->jobs, j);
-        sim_later(s, sim_rnd(s, 0, s->plan->until * 0.8), submit, GUINT_TO_POINTER(i));
+        double at = sim_rnd(s, 0, s->plan->until * 0.8);
+        if (s->plan->burst > 0 && sim_chance(s, s->plan->burst))
+            at = s->plan->until * 0.4 + sim_rnd(s, 0, 10);
+        sim_later(s, at, submit, GUINT_TO_POINTER(i));
     }
 }
 
@@ -380,6 +383,8 @@
     first(&s, plan->worker_cut, sim_cut_workers);
     first(&s, plan->outage, sim_outage);
     first(&s, plan->cloud_outage, sim_cloud_outage);
+    first(&s, plan->peers_refuse, sim_refuse_peers);
+    first(&s, plan->wave, sim_wave);
     first(&s, plan->die, sim_die);
     first(&s, plan->machine_cut, sim_cut_machine);
     first(&s, plan->machine_deaf, sim_deafen);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -56,6 +56,9 @@
     double cancel_at_end; /* share of jobs called off as their last task ends */
     double
         gap; /* the state service refuses the leader, then all for so long; cancellations between */
+    double peers_refuse;     /* controllers do not reach one another for a while */
+    double wave;             /* a third of the spot machines is taken at once; with `die` */
+    double burst;            /* share of jobs that come within ten seconds */
     double cloud_outage;     /* the cloud refuses everything for a while */
     double services;         /* share of jobs that are services */
     double roll;             /* all begin as the old version; one after the other comes back new */
--- a/tests/sim_internal.h
+++ b/tests/sim_internal.h
@@ -154,6 +154,8 @@
 void sim_cut_workers(sim *s, gpointer data);
 void sim_outage(sim *s, gpointer data);
 void sim_cloud_outage(sim *s, gpointer data);
+void sim_refuse_peers(sim *s, gpointer data);
+void sim_wave(sim *s, gpointer data);
 void sim_die(sim *s, gpointer data);
 void sim_cut_machine(sim *s, gpointer data);
 void sim_deafen(sim *s, gpointer data);
--- a/tests/sim_troubles.c
+++ b/tests/sim_troubles.c
@@ -61,6 +61,25 @@
         sim_later(s, sim_rnd(s, 0.5, 2) * s->plan->cloud_outage, sim_cloud_outage, data);
 }
 
+void sim_refuse_peers(sim *s, gpointer data)
+{
+    double until = s->now + sim_rnd(s, 5, 40);
+    for (int i = 0; i < NODES; i++)
+        s->nodes[i].peer_cut_until = until;
+    if (s->now < s->plan->until)
+        sim_later(s, sim_rnd(s, 0.5, 2) * s->plan->peers_refuse, sim_refuse_peers, data);
+}
+
+void sim_wave(sim *s, gpointer data)
+{
+    for (guint i = 0; i < s->workers->len; i++) {
+        st_worker *w = g_ptr_array_index(s->workers, i);
+        w->gone = w->gone || (w->spot && sim_chance(s, 1.0 / 3));
+    }
+    if (s->now < s->plan->until)
+        sim_later(s, sim_rnd(s, 0.5, 2) * s->plan->wave, sim_wave, data);
+}
+
 void sim_die(sim *s, gpointer data)
 {
     if (s->workers->len)
--- a/tests/test_deployments.c
+++ b/tests/test_deployments.c
@@ -81,6 +81,24 @@
     sim_expect_sound(&plan, 701, SEEDS);
 }
 
+static void peers(void) /* refuse one another, while controllers end */
+{
+    sim_plan plan = BASE;
+    plan.peers_refuse = 40;
+    plan.crash = 40;
+    sim_expect_sound(&plan, 801, SEEDS);
+}
+
+static void waves(void) /* of spot machines taken, amid a burst of jobs */
+{
+    sim_plan plan = BASE;
+    plan.wave = 40;
+    plan.die = 60;
+    plan.burst = 0.6;
+    plan.jobs = 60;
+    sim_expect_sound(&plan, 901, SEEDS);
+}
+
 static void refusal_then_outage(void) /* for longer than cancel_s */
 {
     sim_plan plan = BASE;
@@ -119,6 +137,8 @@
     g_test_add_func("/tupelo/cuts", cuts);
     g_test_add_func("/tupelo/state-service", state_service);
     g_test_add_func("/tupelo/cloud", cloud);
+    g_test_add_func("/tupelo/peers", peers);
+    g_test_add_func("/tupelo/waves", waves);
     g_test_add_func("/tupelo/refusal-then-outage", refusal_then_outage);
     g_test_add_func("/tupelo/everything", everything);
     return g_test_run();
