Tests: what waited is placed on drained machines too; an unused field and a wrong comment go

In the last reading: the test of drained machines said that they count as needed again, but passed without keep_needed, for a job that comes ends the quiet anyway. Controllers restarted one after the other are not in the group that said so.

--- a/tests/sim.c
+++ b/tests/sim.c
@@ -9,8 +9,7 @@
 const char *const TEAMS[3] = {"red", "green", "blue"};
 const double LIMITS[3] = {64, 40, 0};
 
-static const sim_deployment OWN = {.name = "own",
-                                   .report_s = 1,
+static const sim_deployment OWN = {.report_s = 1,
                                    .lease_s = 12,
                                    .cancel_s = 30,
                                    .state_rps = 100,
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -23,7 +23,6 @@
 
 /* What the settings of a deployment say of times and limits. */
 typedef struct {
-    const char *name;
     double report_s, lease_s, cancel_s;
     double state_rps, state_write_rps, value_kb;
     unsigned txn_ops;
--- a/tests/test_consolidation.c
+++ b/tests/test_consolidation.c
@@ -76,8 +76,7 @@
     g_assert_cmpuint(returned(true), ==, 0);
 }
 
-/* A drained machine takes a task as soon as no other has room for it, and counts as needed again.
- */
+/* Drained machines are there for a job that comes: the block is quiet no more. */
 static void drained_machines_take_work(void)
 {
     world w = {.machines = 8, .report_s = 1};
@@ -94,6 +93,26 @@
     world_free(&w);
 }
 
+/* Tasks that waited all along, and find room nowhere else, are placed on drained machines too;
+ * those count as needed then, although no job has come. */
+static void drained_machines_take_what_waits(void)
+{
+    world w = {.machines = 8, .report_s = 1};
+    world_hold_fleet(&w);
+    w.conf->tune.spare_machines = 8;
+    world_pass(&w, 3);
+    w.conf->teams[0].cpus_max = 2 * 8;
+    add_tasks(&w, "j-000096", 40, 0);
+    world_pass(&w, QUIET_S);
+    g_assert_cmpuint(w.launches, ==, 2);
+    g_assert_cmpuint(drained(&w), >=, 4);
+    w.conf->teams[0].cpus_max = 40 * 8; /* all cores */
+    world_pass(&w, 5);
+    g_assert_cmpuint(w.launches, ==, 40);
+    g_assert_cmpuint(drained(&w), ==, 0);
+    world_free(&w);
+}
+
 static void end_tasks_of(world *w, unsigned i, const char *job)
 {
     for (guint k = 0; k < w->tasks[i]->len; k++) {
@@ -138,6 +157,8 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/consolidation/surplus-is-returned", surplus_is_returned);
     g_test_add_func("/consolidation/drained-machines-take-work", drained_machines_take_work);
+    g_test_add_func("/consolidation/drained-machines-take-what-waits",
+                    drained_machines_take_what_waits);
     g_test_add_func("/consolidation/saving-tasks-move", saving_tasks_move);
     return g_test_run();
 }
--- a/tests/test_deployments.c
+++ b/tests/test_deployments.c
@@ -5,8 +5,7 @@
 mv_guard mv_broken_guard = MV_GUARD_NONE;
 
 /* Short leases, small transactions, work that saves its progress. */
-static const sim_deployment TUPELO = {.name = "Tupelo",
-                                      .report_s = 1.5,
+static const sim_deployment TUPELO = {.report_s = 1.5,
                                       .lease_s = 10,
                                       .cancel_s = 30,
                                       .state_rps = 100,
@@ -44,7 +43,7 @@
     sim_expect_sound(&plan, 101, SEEDS);
 }
 
-static void controllers(void) /* one, all, one after the other, within a fraction of a second */
+static void controllers(void) /* one, all, back within a fraction of a second */
 {
     sim_plan plan = BASE;
     plan.crash = 20;
