The log's limit on repeats is guarded by a lock that the thread sanitizer sees

The table was guarded by a GMutex, but GLib is not built with the sanitizer, so the order it gives is not seen; whether that is reported depends on which threads meet first.

--- a/src/bookkeeping/log.c
+++ b/src/bookkeeping/log.c
@@ -2,19 +2,23 @@
 
 #include "constants.h"
 
+#include <pthread.h>
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
 
 static mv_log_level current = MV_LOG_INFO;
 static char node[MV_NAME_SIZE] = "-";
-static GMutex limit_lock;
-static GHashTable *limits; /* event -> repeat */
+/* Not a GMutex: GLib is not built with the thread sanitizer, which then takes what a GMutex guards
+ * for a data race (the test "log", under that sanitizer). */
+static pthread_mutex_t limit_lock = PTHREAD_MUTEX_INITIALIZER;
+static GHashTable *limits; /* event -> repeat_limit; guarded by limit_lock */
 
+/* When an event may be printed next, and how many were suppressed since it last was. */
 typedef struct {
     gint64 next_us;
-    guint held;
-} repeat;
+    guint suppressed;
+} repeat_limit;
 
 static const char *const LEVELS[] = {"error", "info", "debug"};
 
@@ -66,16 +70,17 @@
     return current;
 }
 
-static void emit(mv_log_level level, const char *event, guint held, const char *format, va_list ap)
+static void emit(mv_log_level level, const char *event, guint suppressed, const char *format,
+                 va_list ap)
 {
     static const GLogLevelFlags flags[] = {G_LOG_LEVEL_WARNING, G_LOG_LEVEL_INFO,
                                            G_LOG_LEVEL_DEBUG};
     char rest[900];
     if (vsnprintf(rest, sizeof rest, format, ap) < 0)
         return;
-    if (held)
+    if (suppressed)
         g_log_structured(G_LOG_DOMAIN, flags[level], "MESSAGE", "event=%s %s repeated=%u", event,
-                         rest, held);
+                         rest, suppressed);
     else
         g_log_structured(G_LOG_DOMAIN, flags[level], "MESSAGE", "event=%s %s", event, rest);
 }
@@ -90,29 +95,37 @@
     va_end(ap);
 }
 
-void mv_log_limited(mv_log_level level, const char *event, const char *format, ...)
+/* Whether one more of this event may be printed now; `suppressed` is then how many were not. */
+static bool may_print(const char *event, guint *suppressed)
 {
-    if (level > current)
-        return;
     gint64 now = g_get_monotonic_time();
-    g_mutex_lock(&limit_lock);
+    pthread_mutex_lock(&limit_lock);
     if (!limits)
         limits = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
-    repeat *r = g_hash_table_lookup(limits, event);
-    if (!r) {
-        r = g_new0(repeat, 1);
-        g_hash_table_insert(limits, (gpointer)event, r); /* events are literals */
+    repeat_limit *limit = g_hash_table_lookup(limits, event);
+    if (!limit) {
+        limit = g_new0(repeat_limit, 1);
+        g_hash_table_insert(limits, (gpointer)event, limit); /* events are literals */
+    }
+    bool print = now >= limit->next_us;
+    *suppressed = limit->suppressed;
+    if (print) {
+        limit->suppressed = 0;
+        limit->next_us = now + (gint64)(MV_LOG_REPEAT_S * 1e6);
+    } else {
+        limit->suppressed++;
     }
-    bool print = now >= r->next_us;
-    guint held = r->held;
-    r->held = print ? 0 : r->held + 1;
-    if (print)
-        r->next_us = now + (gint64)(MV_LOG_REPEAT_S * 1e6);
-    g_mutex_unlock(&limit_lock);
-    if (!print)
+    pthread_mutex_unlock(&limit_lock);
+    return print;
+}
+
+void mv_log_limited(mv_log_level level, const char *event, const char *format, ...)
+{
+    guint suppressed = 0;
+    if (level > current || !may_print(event, &suppressed))
         return;
     va_list ap;
     va_start(ap, format);
-    emit(level, event, held, format, ap);
+    emit(level, event, suppressed, format, ap);
     va_end(ap);
 }
