A faulty machine is returned only once its new holder knows its tasks

A controller that had marked it, lost the shard and got it back under a new term, knew of no task there until it reported, took it for empty and had it returned at work. Now it has to have reported, and without unknown tasks.

--- a/src/coordination/demand.c
+++ b/src/coordination/demand.c
@@ -33,6 +33,14 @@
     return NULL;
 }
 
+/* A new holder knows of no task there until the machine has reported: one that had been faulty
+ * under an earlier grant was given back at work. */
+static bool is_empty_and_faulty(const machine *m)
+{
+    bool rebuilt = m->confirmed && !m->unknown_tasks;
+    return m->faulty && GUARD(FAULTY_REBUILT, rebuilt) && !m->placements->len;
+}
+
 static mv_demand *own_demand(mv_core *c, shard *s)
 {
     mv_demand *d = g_new0(mv_demand, 1);
@@ -81,7 +89,7 @@
                      .silent_s = c->now - MAX(MAX(m->heard_at, s->listening_since), m->entered_at),
                      .fence = g_hash_table_size(m->uncertain_attempts) > 0 &&
                               c->now > m->uncertain_since + MV_FENCE_AFTER_S,
-                     .give_back = m->give_back || (m->faulty && !m->placements->len),
+                     .give_back = m->give_back || is_empty_and_faulty(m),
                      .lost = m->lost,
                      /* A holder that reaches no machine once took those that its predecessor
                       * had used for machines that never booted, and one that waited for its
--- a/tests/test_deployments.c
+++ b/tests/test_deployments.c
@@ -52,13 +52,26 @@
     sim_expect_sound(&plan, 201, SEEDS);
 }
 
-static void cuts(void) /* from the state service, the workers, everything but the workers */
+/* From the state service, the workers, everything but the workers. */
+static sim_plan cut_plan(void)
 {
     sim_plan plan = BASE;
     plan.state_cut = 20;
     plan.worker_cut = 25;
     plan.isolate = 45;
-    sim_expect_sound(&plan, 301, SEEDS);
+    return plan;
+}
+
+static void cuts(void)
+{
+    sim_plan plan = cut_plan();
+    sim_expect_sound(&plan, 301, 3 * SEEDS);
+}
+
+static void guard_faulty_rebuilt(void)
+{
+    sim_plan plan = cut_plan();
+    sim_expect_broken(MV_GUARD_FAULTY_REBUILT, &plan, "at work", 301, 301 + 3 * SEEDS);
 }
 
 static void state_service(void) /* out, slow, its answers lost or late */
@@ -134,6 +147,7 @@
     g_test_add_func("/tupelo/machines", machines);
     g_test_add_func("/tupelo/controllers", controllers);
     g_test_add_func("/tupelo/cuts", cuts);
+    g_test_add_func("/tupelo/guard-faulty-rebuilt", guard_faulty_rebuilt);
     g_test_add_func("/tupelo/state-service", state_service);
     g_test_add_func("/tupelo/cloud", cloud);
     g_test_add_func("/tupelo/peers", peers);
