The first blocks wait for the cloud's first list, so a large fleet has several at once

Now the first leader waits for a complete list, 3 s at most, and counts what it names. The first list of a new leader was also asked for and forgotten in the same tick, and not asked for within 5 s of a clock that begins at 0; both mended.

--- a/src/constants.h
+++ b/src/constants.h
@@ -10,6 +10,7 @@
 #define MV_MAX_ON_MACHINE 300 /* tasks on a machine: its report must fit 64 KiB, ended ones too */
 #define MV_MAX_RENT 50        /* machines in one rental request */
 #define MV_MAX_RELEASE 100    /* names in one release request */
+#define MV_FIRST_LIST_S 3.0   /* the first leader waits so long for the first list */
 #define MV_LIST_PAGE 500      /* machines on a page of the cloud's list */
 #define MV_STORE_PAGE 1000    /* items on a page of the state service */
 #define MV_TXN_BYTES 60000    /* bytes of changes in a transaction: 64 KiB less the framing */
--- a/src/coordination/fleet.c
+++ b/src/coordination/fleet.c
@@ -48,6 +48,7 @@
         s->demand_got_at = 0;
     }
     c->list_id = c->types_id = c->release_id = 0;
+    c->listed_once = false;
     g_clear_pointer(&c->release_hosts, g_ptr_array_unref);
 }
 
@@ -184,6 +185,8 @@
 
 static void read_list(mv_core *c)
 {
+    c->listed_once = true;
+    c->listed_machines = g_hash_table_size(c->list_seen);
     for (guint i = 0; i < c->rotation->len; i++) {
         machine *m = g_ptr_array_index(c->rotation, i);
         bool seen = g_hash_table_contains(c->list_seen, m->id);
@@ -238,7 +241,7 @@
     }
     if (!mv_leads(c))
         return;
-    if (c->now > c->list_at + MV_LIST_EVERY_S &&
+    if ((c->list_at == 0 || c->now > c->list_at + MV_LIST_EVERY_S) &&
         (!c->list_id || c->now > c->list_at + 4 * MV_CLOUD_TIMEOUT_MS / 1000.0)) {
         g_clear_pointer(&c->list_seen, g_hash_table_unref);
         c->list_seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -250,7 +253,6 @@
 void mv_fleet_tick(mv_core *c)
 {
     mv_tell_demand(c);
-    ask_cloud(c);
     bool lead = mv_leads(c);
     if (lead != c->led) {
         fleet_lead_lost(c);
@@ -258,6 +260,8 @@
         c->led_since = c->now;
         mv_info("leader", "leads=%d term=%" G_GUINT64_FORMAT, lead, c->leader.term);
     }
+    /* After that: a new leader's first list was asked for and forgotten at once. */
+    ask_cloud(c);
     if (!lead)
         return;
     g_hash_table_foreach_remove(c->released_names, old_release, c);
--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -29,6 +29,7 @@
     MV_GUARD_VALUE,          /* values stay within the limit */
     MV_GUARD_LATE_START,     /* no lease where a cancelled task may yet start */
     MV_GUARD_WAITS_LONG,     /* what is kept for others gives way to what has waited long */
+    MV_GUARD_FIRST_LIST,     /* the first blocks wait for the cloud's first list */
     MV_GUARD_FAULTY_REBUILT, /* no faulty machine is returned before its tasks are known */
     MV_GUARD_QUEUED,         /* a transaction is not made anew while it waits in our own queue */
     MV_GUARD_WINDOW,         /* fewer commands are under way while our own processor is short */
@@ -362,6 +363,8 @@
     double others_lack_at;   /* and some that take replicas, */
     uint32_t others_lack;    /* of these types */
     GPtrArray *release_hosts;
+    bool listed_once;      /* a list was read to its end since we lead */
+    guint listed_machines; /* how many the last complete list named */
     GHashTable *list_seen;
     unsigned rental_count;
     mv_core_counts counts;
--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -140,7 +140,17 @@
         most = MAX(most, g_array_index(c->types, mv_type, i).cores);
     for (size_t i = 0; i < c->conf->n_teams; i++)
         guaranteed += c->conf->teams[i].cpus;
-    return MAX(most > 0 ? guaranteed / most : 0, (double)c->rotation->len);
+    return MAX(most > 0 ? guaranteed / most : 0, (double)MAX(c->rotation->len, c->listed_machines));
+}
+
+/* Whether enough is known to say how large the fleet will be: the types, and the machines there
+ * are. With one block until 399 machines were recorded, 12 s after the start, one controller got
+ * all the jobs of that time; the machines followed them, and it broke down under two thirds of a
+ * fleet of 4,000. A cloud that does not answer holds nothing up for long. */
+static bool can_tell_fleet_size(const mv_core *c)
+{
+    bool waited = c->led && c->now > c->led_since + MV_FIRST_LIST_S;
+    return c->types && GUARD(FIRST_LIST, c->listed_once || waited);
 }
 
 /* One block keeps the room of a small fleet together; a large one is more than one controller's
@@ -231,8 +241,8 @@
 {
     if (mv_pending(c, &c->grant_txn) || g_hash_table_size(c->nodes) == 0)
         return;
-    if (c->shards->len == 0 && !c->types)
-        return; /* how large the fleet will be cannot be told yet */
+    if (c->shards->len == 0 && !can_tell_fleet_size(c))
+        return;
     unsigned n = MAX(c->shards->len, wanted_shards(c));
     n = MIN(MIN(n, c->ops - 1), MV_MAX_SHARDS);
     g_autofree mv_holder *holders = g_new0(mv_holder, n);
