--- a/src/bookkeeping/settings.c
+++ b/src/bookkeeping/settings.c
@@ -192,8 +192,7 @@
     if (!r->failed && mv_settings_cancel_bound(s) >= s->cancel_s)
         fail(r, "settings.workers.cancel_s",
              "must exceed lease_s by over 4 s: cut off from a cancellation, a controller may act "
-             "for "
-             "its block lease, and after that a worker for its own");
+             "for its block lease, and after that a worker for its own");
     s->state_rps = number(r, "settings.state.rps", 1, 1e6, NAN);
     s->state_write_rps = number(r, "settings.state.write_rps", 1, 1e6, NAN);
     s->value_kb = number(r, "settings.state.value_kb", 1, 1e6, NAN);
--- a/src/constants.h
+++ b/src/constants.h
@@ -215,7 +215,7 @@
 #define MV_CONNECT_TIMEOUT_MS 1000      /* nothing is further away than this */
 #define MV_MAX_FRAME                                                                               \
     (1024 * 1024)              /* bytes of a message between controllers: a demand takes           \
-                                  about 100 for each machine of a block */
+                                  87 for each machine of a block, as measured */
 #define MV_PEER_CONNECTIONS 64 /* connections from peers, old ones included */
 #define MV_FINAL_CACHE 20000   /* finished jobs kept in memory, about 100 bytes each */
 #define MV_STATUS_MACHINES 60u /* more than these are counted by kind, not listed */
--- a/src/coordination/commands.c
+++ b/src/coordination/commands.c
@@ -16,10 +16,16 @@
     g_array_append_val(orders, o);
 }
 
-void mv_launch_order(const placement *p, GArray *orders)
+static mv_task task_of(const placement *p)
 {
     mv_task task = {.index = p->index, .attempt = p->attempt};
     g_strlcpy(task.job, p->job, sizeof task.job);
+    return task;
+}
+
+void mv_launch_order(const placement *p, GArray *orders)
+{
+    mv_task task = task_of(p);
     mv_add_order(orders, MV_LAUNCH, &task, 0);
 }
 
@@ -27,8 +33,7 @@
 void mv_stop_order(const placement *p, GArray *orders)
 {
     bool saves = p->of && p->of->spec.mark_every_s > 0 && !p->abrupt;
-    mv_task task = {.index = p->index, .attempt = p->attempt};
-    g_strlcpy(task.job, p->job, sizeof task.job);
+    mv_task task = task_of(p);
     mv_add_order(orders, MV_STOP, &task, saves ? p->of->spec.mark_cost_s : 0);
 }
 
--- a/src/coordination/consolidation.c
+++ b/src/coordination/consolidation.c
@@ -1,8 +1,7 @@
 /* Consolidation: once no more jobs come, machines that the present work does not need are drained.
  * They get a task only where no other machine has room, so that they become empty and can be
- * returned. Spread over all
- * machines, little work kept each of them from ever being idle: in the last third of a day more
- * than half of what was paid for was unused. */
+ * returned. Spread over all machines, little work kept each of them from ever being idle: in the
+ * last third of a day more than half of what was paid for was unused. */
 #include "coordination/internal.h"
 
 #include "bookkeeping/log.h"
@@ -16,11 +15,7 @@
 /* What the unused part of a machine costs, by the hour. */
 static double wasted_price(const mv_core *core, const machine *host)
 {
-    const mv_type *type = mv_type_of(core, host);
-    if (!type || type->cores <= 0)
-        return 0;
-    double price = host->spot ? type->market : type->rate;
-    return price * mv_free_room(core, host).cores / type->cores;
+    return mv_price_per_core(core, host) * mv_free_room(core, host).cores;
 }
 
 /* Replicas do not end, and a task that its job had to wait long for is left alone. */
@@ -117,7 +112,7 @@
 
 /* Drains the most wasteful machines while the others have room for what is in use and a part more.
  */
-static void choose_drained(mv_core *core, const shard *block)
+static void choose_drained(mv_core *core, shard *block)
 {
     block_use use = measure(core, block);
     double needed = use.used_cores * (1 + MV_DRAIN_SPARE);
@@ -128,6 +123,7 @@
         if (capacity < needed)
             break;
         set_drained(core, host, true);
+        block->any_drained = true;
     }
     g_array_unref(use.candidates);
 }
@@ -166,8 +162,11 @@
     return tried;
 }
 
-static void drain_none(const mv_core *core, const shard *block)
+static void drain_none(const mv_core *core, shard *block)
 {
+    if (!block->any_drained)
+        return;
+    block->any_drained = false;
     for (guint i = 0; i < core->rotation->len; i++) {
         machine *host = g_ptr_array_index(core->rotation, i);
         if (host->shard == block && host->draining)
@@ -175,18 +174,19 @@
     }
 }
 
-void mv_consolidate(mv_core *core, const shard *block)
+void mv_consolidate(mv_core *core, shard *block)
 {
     if (!is_quiet(core, block)) {
         drain_none(core, block);
         return;
     }
-    keep_needed(core, block);
+    if (block->any_drained)
+        keep_needed(core, block);
     choose_drained(core, block);
     unsigned tried = 0;
     for (guint i = 0; i < core->rotation->len && tried < MV_MOVES_AT_ONCE; i++) {
         machine *host = g_ptr_array_index(core->rotation, i);
-        if (host->shard == block && host->draining && mv_usable(core, host))
+        if (host->draining && host->shard == block && mv_usable(core, host))
             tried += move_tasks(core, host);
     }
 }
--- a/src/coordination/demand.c
+++ b/src/coordination/demand.c
@@ -123,12 +123,6 @@
     return d;
 }
 
-static double price_per_core(const mv_core *c, const machine *m)
-{
-    const mv_type *t = mv_type_of(c, m);
-    return t && t->cores > 0 ? (m->spot ? t->market : t->rate) / t->cores : 0;
-}
-
 /* How long an idle machine is kept: the dearer, the shorter; least, once it is drained. The
  * cheapest of the cloud is kept for the full time, for it costs little and takes long to boot
  * again. */
@@ -136,7 +130,7 @@
 {
     if (m->draining)
         return MV_IDLE_LEAST_S;
-    double cheapest = 0, own = price_per_core(c, m);
+    double cheapest = 0, own = mv_price_per_core(c, m);
     for (guint i = 0; c->types && i < c->types->len; i++) {
         const mv_type *t = &g_array_index(c->types, mv_type, i);
         double price = t->cores > 0 ? MIN(t->market, t->rate) / t->cores : 0;
--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -246,6 +246,7 @@
     double job_came_at; /* the last job that has its home here */
     double demand_at;   /* last sent */
     /* the leader's */
+    bool any_drained; /* some of its machines may be drained */
     txn_slot block_txn;
     GArray *adds;         /* mv_member */
     mv_want reserve;      /* of its holder: room that its services would need after a loss */
@@ -428,6 +429,8 @@
 void mv_back_off(mv_core *c, job *j);
 void mv_note_failure(mv_core *c, machine *m, job *j);
 const mv_type *mv_type_of(const mv_core *c, const machine *m);
+/* What a core of a machine costs by the hour; 0 while its type is not known. */
+double mv_price_per_core(const mv_core *c, const machine *m);
 /* machines.c */
 void mv_forget_command(mv_core *c, machine *m);
 void mv_touch_image(mv_core *c, machine *m, const job *j);
@@ -517,7 +520,7 @@
 bool mv_can_spare(const mv_core *c, shard *s, const machine *m);
 void mv_vacate_machine(mv_core *c, shard *s);
 /* consolidation.c */
-void mv_consolidate(mv_core *core, const shard *block);
+void mv_consolidate(mv_core *core, shard *block);
 /* blocks.c */
 bool mv_block_change(mv_core *c, shard *s);
 void mv_block_settle(mv_core *c, shard *s);
--- a/src/coordination/machines.c
+++ b/src/coordination/machines.c
@@ -95,6 +95,12 @@
     return m->type < 0 ? NULL : &g_array_index(c->types, mv_type, m->type);
 }
 
+double mv_price_per_core(const mv_core *c, const machine *m)
+{
+    const mv_type *t = mv_type_of(c, m);
+    return t && t->cores > 0 ? (m->spot ? t->market : t->rate) / t->cores : 0;
+}
+
 /* Not yet confirmed under our token, and recorded by a predecessor as one it used. */
 bool mv_may_hold_tasks(const machine *m)
 {
