Polls are sent away before submissions; connections and what is shed are logged and counted

With 120 requests waiting for a routine polls get 503 with Retry-After, with 200 submissions and cancellations 429 and 503; reports are answered at once and never wait. Logged at most every 5 s as shed and crowded; metrics http_connections, http_connections_limit, http_waiting, http_closed_total, http_shed_total. Test: http_server/sheds-polls-first.

--- a/src/constants.h
+++ b/src/constants.h
@@ -204,6 +204,7 @@
     0.2                    /* of the state service's limit for their questions; above, they share  \
                             */
 #define MV_POLL_WAIT_S 0.7 /* the watches; after this each asks by itself all the same */
+#define MV_POLLS_WAITING 120u     /* requests that wait for a routine; more polls are sent away, */
 #define MV_REQUESTS_WAITING 200u  /* and those that wait for a routine; more are sent away */
 #define MV_HTTP_MEMORY (8 * 1024) /* bytes MHD keeps for one connection */
 #define MV_SHED_RETRY_S 2         /* seconds in Retry-After of a 429 */
--- a/src/service/daemon.c
+++ b/src/service/daemon.c
@@ -95,9 +95,9 @@
     return true;
 }
 
-guint64 mv_daemon_http_rests(mv_daemon *d)
+mv_http_load mv_daemon_http_load(mv_daemon *d)
 {
-    return mv_http_rests(d->http);
+    return mv_http_load_of(d->http);
 }
 
 static void on_http(void *ctx, const char *method, const char *path, const uint8_t *body,
@@ -180,8 +180,11 @@
     mv_core_tick(d->core, mv_steady(), time_of_day()); /* records speak of the time of day */
     mv_http_client_init();
     d->back = mv_peer_listen(&conf->back, mv_daemon_on_peer, d);
-    mv_http_handler handler = {
-        .answer = on_http, .at_once = mv_route_at_once, .busy = on_busy, .ctx = d};
+    mv_http_handler handler = {.answer = on_http,
+                               .at_once = mv_route_at_once,
+                               .may_wait = mv_route_may_wait,
+                               .busy = on_busy,
+                               .ctx = d};
     mv_http_limits limits = http_limits(conf);
     d->http = d->back ? mv_http_bind(&conf->listen, &limits, &handler) : NULL;
     if (d->http && start_threads(d))
--- a/src/service/daemon.h
+++ b/src/service/daemon.h
@@ -4,6 +4,7 @@
 #include "bookkeeping/settings.h"
 #include "coordination/core.h"
 #include "storage/state.h"
+#include "transport/http_server.h"
 
 typedef struct mv_daemon mv_daemon;
 
@@ -38,6 +39,7 @@
                        size_t size, mv_reply *reply);
 /* Whether a request is answered without waiting for anybody, and the answer when too many wait. */
 bool mv_route_at_once(const char *method, const char *path);
+unsigned mv_route_may_wait(const char *method, const char *path);
 void mv_route_busy(const char *method, const char *path, mv_reply *reply);
 /* Whether the state service answered lately. */
 bool mv_daemon_in_contact(mv_daemon *d);
@@ -46,5 +48,5 @@
 bool mv_daemon_caught_up(mv_daemon *d);
 /* Whether, while it did not, a peer answered lately; always true without peers. */
 bool mv_daemon_peer_answered(mv_daemon *d);
-guint64 mv_daemon_http_rests(mv_daemon *d);
+mv_http_load mv_daemon_http_load(mv_daemon *d);
 #endif
--- a/src/service/routes.c
+++ b/src/service/routes.c
@@ -381,6 +381,7 @@
     mv_core_counts_get(core, &n);
     bool leader = mv_core_leads(core);
     mv_daemon_leave(d);
+    mv_http_load load = mv_daemon_http_load(d);
     GString *out = mv_metrics_print();
     struct {
         const char *name;
@@ -398,7 +399,12 @@
                 {"limits_halved_total", n.halved},
                 {"stale_messages_total", n.stale},
                 {"machines_looked_at_total", n.looked},
-                {"http_rests_total", mv_daemon_http_rests(d)},
+                {"http_connections", load.connections},
+                {"http_connections_limit", load.limit},
+                {"http_waiting", load.waiting},
+                {"http_closed_total", load.closed},
+                {"http_rests_total", load.rests},
+                {"http_shed_total", load.shed},
                 {"jobs", n.jobs},
                 {"waiting_tasks", n.waiting},
                 {"running_tasks", n.running},
@@ -492,6 +498,15 @@
     return p != P_SUBMIT && p != P_POLL && p != P_ABORT;
 }
 
+/* A poll can be repeated without harm, so polls are sent away before submissions and cancellations.
+ * Reports are answered at once and wait for nothing. */
+unsigned mv_route_may_wait(const char *method, const char *path)
+{
+    char id[MV_ID_SIZE];
+    bool poll = find_place(method, path, id, sizeof id) == P_POLL;
+    return poll ? MV_POLLS_WAITING : MV_REQUESTS_WAITING;
+}
+
 void mv_route_busy(const char *method, const char *path, mv_reply *r)
 {
     char id[MV_ID_SIZE];
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -18,7 +18,7 @@
     mv_http_limits limits;
     gint open;       /* connections */
     unsigned streak; /* requests answered since the last rest; the library's thread only */
-    gsize rests;
+    gsize rests, shed, closed; /* see mv_http_load; changed by the library's thread only */
     mv_http_handler handler;
     pthread_mutex_t lock;
     pthread_cond_t filled;
@@ -64,8 +64,12 @@
         g_snprintf(seconds, sizeof seconds, "%d", q->reply.retry_after);
         MHD_add_response_header(r, MHD_HTTP_HEADER_RETRY_AFTER, seconds);
     }
-    if (q->at == READING && crowded(s))
+    if (q->at == READING && crowded(s)) {
         MHD_add_response_header(r, MHD_HTTP_HEADER_CONNECTION, "close");
+        g_atomic_pointer_add(&s->closed, 1);
+        mv_log_limited(MV_LOG_INFO, "crowded", "connections=%d limit=%u",
+                       g_atomic_int_get(&s->open), s->limits.connections);
+    }
     enum MHD_Result result = MHD_queue_response(con, (unsigned)q->reply.status, r);
     MHD_destroy_response(r);
     return result;
@@ -92,9 +96,17 @@
     g_usleep(MV_HTTP_REST_US);
 }
 
-guint64 mv_http_rests(mv_http_server *s)
+mv_http_load mv_http_load_of(mv_http_server *s)
 {
-    return (guint64)g_atomic_pointer_get(&s->rests);
+    pthread_mutex_lock(&s->lock);
+    unsigned waiting = g_queue_get_length(&s->waiting);
+    pthread_mutex_unlock(&s->lock);
+    return (mv_http_load){.waiting = waiting,
+                          .connections = (unsigned)g_atomic_int_get(&s->open),
+                          .limit = s->limits.connections,
+                          .rests = (guint64)g_atomic_pointer_get(&s->rests),
+                          .shed = (guint64)g_atomic_pointer_get(&s->shed),
+                          .closed = (guint64)g_atomic_pointer_get(&s->closed)};
 }
 
 static void *request_routine(void *arg)
@@ -121,8 +133,9 @@
 static bool hand_over(mv_http_server *s, struct MHD_Connection *con, const char *method,
                       const char *path, request *q)
 {
+    unsigned may_wait = s->handler.may_wait(method, path);
     pthread_mutex_lock(&s->lock);
-    bool room = g_queue_get_length(&s->waiting) < MV_REQUESTS_WAITING && !s->stopping;
+    bool room = g_queue_get_length(&s->waiting) < may_wait && !s->stopping;
     if (room) {
         q->con = con;
         q->at = WAITING;
@@ -167,6 +180,9 @@
             return MHD_YES;
         } else {
             s->handler.busy(method, path, &q->reply);
+            g_atomic_pointer_add(&s->shed, 1);
+            mv_log_limited(MV_LOG_INFO, "shed", "method=%s waiting=%u", method,
+                           s->handler.may_wait(method, path));
         }
     }
     return send_reply(s, con, q);
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -22,6 +22,8 @@
                    size_t size, mv_http_reply *reply);
     /* Whether the answer never waits for anybody, so that it may be given at once. */
     bool (*at_once)(const char *method, const char *path);
+    /* How many others may wait already for this request to wait as well. */
+    unsigned (*may_wait)(const char *method, const char *path);
     /* The answer when too much waits already. */
     void (*busy)(const char *method, const char *path, mv_http_reply *reply);
     void *ctx;
@@ -36,7 +38,17 @@
 mv_http_server *mv_http_bind(const mv_endpoint *at, const mv_http_limits *limits,
                              const mv_http_handler *handler);
 bool mv_http_serve(mv_http_server *s);
-/* How often its thread has rested; any thread. */
-guint64 mv_http_rests(mv_http_server *s);
+
+/* How much it has to do, and what that led to. */
+typedef struct {
+    unsigned connections, limit; /* open now, and at most */
+    unsigned waiting;            /* requests that wait for a routine */
+    guint64 rests;               /* of the thread that answers at once */
+    guint64 shed;                /* requests answered that too much waits already */
+    guint64 closed;              /* answers that ended their connection as few were left */
+} mv_http_load;
+
+/* From any thread. */
+mv_http_load mv_http_load_of(mv_http_server *s);
 void mv_http_close(mv_http_server *s);
 #endif
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -5,6 +5,7 @@
 #include "transport/http_client.h"
 
 #include <arpa/inet.h>
+#include <pthread.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -52,7 +53,7 @@
 
 static mv_http_server *serve(mv_endpoint *at, const mv_http_handler *handler)
 {
-    mv_http_limits limits = {.connections = 8, .idle_s = 60};
+    mv_http_limits limits = {.connections = 2 * MV_REQUEST_ROUTINES, .idle_s = 60};
     g_strlcpy(at->host, "127.0.0.1", sizeof at->host);
     at->port = free_port();
     mv_http_server *server = mv_http_bind(at, &limits, handler);
@@ -61,12 +62,12 @@
     return server;
 }
 
-static int ask(const mv_endpoint *at)
+static int ask(const mv_endpoint *at, const char *path)
 {
     char to[80];
     mv_http_answer answer = {0};
     g_snprintf(to, sizeof to, "%s:%u", at->host, at->port);
-    mv_http_call("GET", to, "/", NULL, 30000, &answer);
+    mv_http_call("GET", to, path, NULL, 30000, &answer);
     int status = answer.status;
     mv_http_answer_clear(&answer);
     return status;
@@ -79,11 +80,114 @@
     mv_http_handler handler = {.answer = answer, .at_once = all_at_once, .busy = busy};
     mv_http_server *server = serve(&at, &handler);
     for (unsigned i = 0; i < MV_HTTP_STREAK - 1; i++)
-        g_assert_cmpint(ask(&at), ==, 200);
-    g_assert_cmpuint(mv_http_rests(server), ==, 0);
+        g_assert_cmpint(ask(&at, "/"), ==, 200);
+    g_assert_cmpuint(mv_http_load_of(server).rests, ==, 0);
     for (unsigned i = 0; i < 2 * MV_HTTP_STREAK; i++)
-        g_assert_cmpint(ask(&at), ==, 200);
-    g_assert_cmpuint(mv_http_rests(server), ==, 2);
+        g_assert_cmpint(ask(&at, "/"), ==, 200);
+    g_assert_cmpuint(mv_http_load_of(server).rests, ==, 2);
+    mv_http_close(server);
+}
+
+/* --- requests that wait --- */
+
+#define POLLS_MAY_WAIT 2u
+#define OTHERS_MAY_WAIT 4u
+
+static pthread_mutex_t gate = PTHREAD_MUTEX_INITIALIZER;
+static pthread_cond_t gate_opened = PTHREAD_COND_INITIALIZER;
+static bool gate_is_open;
+static unsigned at_gate;
+
+static void answer_after_gate(void *ctx, const char *method, const char *path, const uint8_t *body,
+                              size_t size, mv_http_reply *reply)
+{
+    pthread_mutex_lock(&gate);
+    at_gate++;
+    while (!gate_is_open)
+        pthread_cond_wait(&gate_opened, &gate);
+    pthread_mutex_unlock(&gate);
+    answer(ctx, method, path, body, size, reply);
+}
+
+static bool none_at_once(const char *method, const char *path)
+{
+    return !all_at_once(method, path);
+}
+
+static unsigned may_wait(const char *method, const char *path)
+{
+    (void)method;
+    return strcmp(path, "/poll") == 0 ? POLLS_MAY_WAIT : OTHERS_MAY_WAIT;
+}
+
+typedef struct {
+    pthread_t thread;
+    const mv_endpoint *at;
+    const char *path;
+    int status;
+} client;
+
+static void *run_client(void *arg)
+{
+    client *c = arg;
+    c->status = ask(c->at, c->path);
+    return NULL;
+}
+
+static void start_client(client *c, const mv_endpoint *at, const char *path)
+{
+    c->at = at;
+    c->path = path;
+    g_assert_cmpint(pthread_create(&c->thread, NULL, run_client, c), ==, 0);
+}
+
+static unsigned entered(void)
+{
+    pthread_mutex_lock(&gate);
+    unsigned n = at_gate;
+    pthread_mutex_unlock(&gate);
+    return n;
+}
+
+/* So many requests are with routines and so many wait; fails only by the time limit of the test. */
+static void wait_for_load(mv_http_server *server, unsigned taken, unsigned waiting)
+{
+    while (entered() < taken || mv_http_load_of(server).waiting != waiting)
+        g_usleep(1000);
+}
+
+/* Polls are sent away while submissions may still wait; what waits is answered in the end. */
+static void sheds_polls_first(void)
+{
+    mv_endpoint at = {0};
+    mv_http_handler handler = {
+        .answer = answer_after_gate, .at_once = none_at_once, .may_wait = may_wait, .busy = busy};
+    mv_http_server *server = serve(&at, &handler);
+    client clients[MV_REQUEST_ROUTINES + OTHERS_MAY_WAIT];
+    unsigned n = 0;
+    while (n < MV_REQUEST_ROUTINES) {
+        start_client(&clients[n++], &at, "/submit");
+        wait_for_load(server, n, 0);
+    }
+    for (unsigned waiting = 1; waiting <= POLLS_MAY_WAIT; waiting++) {
+        start_client(&clients[n++], &at, "/poll");
+        wait_for_load(server, MV_REQUEST_ROUTINES, waiting);
+    }
+    g_assert_cmpint(ask(&at, "/poll"), ==, 503);
+    for (unsigned waiting = POLLS_MAY_WAIT + 1; waiting <= OTHERS_MAY_WAIT; waiting++) {
+        start_client(&clients[n++], &at, "/submit");
+        wait_for_load(server, MV_REQUEST_ROUTINES, waiting);
+    }
+    g_assert_cmpint(ask(&at, "/submit"), ==, 503);
+    g_assert_cmpuint(mv_http_load_of(server).shed, ==, 2);
+    pthread_mutex_lock(&gate);
+    gate_is_open = true;
+    pthread_cond_broadcast(&gate_opened);
+    pthread_mutex_unlock(&gate);
+    for (unsigned i = 0; i < n; i++) {
+        g_assert_cmpint(pthread_join(clients[i].thread, NULL), ==, 0);
+        g_assert_cmpint(clients[i].status, ==, 200);
+    }
     mv_http_close(server);
 }
 
@@ -92,5 +196,6 @@
     g_test_init(&argc, &argv, NULL);
     mv_http_client_init();
     g_test_add_func("/http-server/rests", rests);
+    g_test_add_func("/http-server/sheds-polls-first", sheds_polls_first);
     return g_test_run();
 }
