--- a/tests/sim_internal.h
+++ b/tests/sim_internal.h
@@ -5,8 +5,13 @@
 
 #include "coordination/internal.h"
 
-#define NODES 3
-#define CAPACITY 14
+#ifndef NODES
+#define NODES 3 /* controllers */
+#endif
+#define USUAL_CAPACITY 14 /* machines to be had, */
+#ifndef CAPACITY
+#define CAPACITY USUAL_CAPACITY /* unless the build says otherwise */
+#endif
 #define SERVICES_FOR 100   /* seconds after the troubles */
 #define EARLY_S 5          /* work that a machine gets so soon after it came up is early */
 #define MACHINE_CORES 16   /* of the one type there is */
