Tests: servers on loopback take ports below those of outgoing connections

A port taken from the system and closed again may go to any outgoing connection before the server binds it, or binds it again after a restart; with the test http_server there are more of those. Both tests pass.

--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -2,13 +2,11 @@
 #include "transport/http_server.h"
 
 #include "constants.h"
+#include "loopback.h"
 #include "transport/http_client.h"
 
-#include <arpa/inet.h>
 #include <pthread.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 static void answer(void *ctx, const char *method, const char *path, const uint8_t *body,
                    size_t size, mv_http_reply *reply)
@@ -37,25 +35,11 @@
     reply->status = 503;
 }
 
-/* A port that was free a moment ago. */
-static uint16_t free_port(void)
-{
-    struct sockaddr_in address = {.sin_family = AF_INET};
-    socklen_t size = sizeof address;
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-    g_assert_cmpint(fd, >=, 0);
-    g_assert_cmpint(inet_pton(AF_INET, "127.0.0.1", &address.sin_addr), ==, 1);
-    g_assert_cmpint(bind(fd, (struct sockaddr *)&address, size), ==, 0);
-    g_assert_cmpint(getsockname(fd, (struct sockaddr *)&address, &size), ==, 0);
-    close(fd);
-    return ntohs(address.sin_port);
-}
-
 static mv_http_server *serve(mv_endpoint *at, const mv_http_handler *handler)
 {
     mv_http_limits limits = {.connections = 2 * MV_REQUEST_ROUTINES, .idle_s = 60};
     g_strlcpy(at->host, "127.0.0.1", sizeof at->host);
-    at->port = free_port();
+    at->port = (uint16_t)free_port();
     mv_http_server *server = mv_http_bind(at, &limits, handler);
     g_assert_nonnull(server);
     g_assert_true(mv_http_serve(server));
--- a/tests/test_processes.c
+++ b/tests/test_processes.c
@@ -1,5 +1,6 @@
 /* Three real processes on loopback, against stand-ins of the state service, the cloud and the
  * workers: submissions, polls, cancellations, a kill, a restart, all three killed. */
+#include "loopback.h"
 #include "standins.h"
 
 #include "protocol/names.h"
@@ -468,17 +469,6 @@
 
 /* --- controllers --- */
 
-static unsigned free_port(void)
-{
-    struct sockaddr_in a = {.sin_family = AF_INET, .sin_addr = {htonl(INADDR_LOOPBACK)}};
-    socklen_t len = sizeof a;
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-    g_assert_cmpint(bind(fd, (struct sockaddr *)&a, sizeof a), ==, 0);
-    getsockname(fd, (struct sockaddr *)&a, &len);
-    close(fd);
-    return ntohs(a.sin_port);
-}
-
 static void write_config(unsigned i)
 {
     GString *t = g_string_new(NULL);
