--- a/tests/test_deployments.c
+++ b/tests/test_deployments.c
@@ -121,6 +121,29 @@
     sim_expect_sound(&plan, 551, SEEDS);
 }
 
+/* Controllers that stand still, machines that do nothing for a while, commands and transactions
+ * that take long. */
+static void slow(void)
+{
+    sim_plan plan = BASE;
+    plan.freeze = 20;
+    plan.machine_hang = 15;
+    plan.slow = 0.15;
+    plan.slow_state = 0.2;
+    sim_expect_sound(&plan, 1001, SEEDS);
+}
+
+/* Controllers restarted one after the other, from the old version to this one; then once more amid
+ * ends of others. */
+static void restarts(void)
+{
+    sim_plan plan = BASE;
+    plan.roll = 12;
+    sim_expect_sound(&plan, 1101, SEEDS);
+    plan.crash = 30;
+    sim_expect_sound(&plan, 1151, SEEDS);
+}
+
 static void everything(void)
 {
     sim_plan plan = BASE;
@@ -153,6 +176,8 @@
     g_test_add_func("/tupelo/peers", peers);
     g_test_add_func("/tupelo/waves", waves);
     g_test_add_func("/tupelo/refusal-then-outage", refusal_then_outage);
+    g_test_add_func("/tupelo/slow", slow);
+    g_test_add_func("/tupelo/restarts", restarts);
     g_test_add_func("/tupelo/everything", everything);
     return g_test_run();
 }
