Tests: one builder of job records and one step of fresh time for tests of a single core

Five tests wrote out the record of a job field by field; world_put_job does it for all, and world_add_job builds on it. Session, copy and clock were moved on by the same three lines in eight places: world_renew. No assertion changed.

--- a/tests/core_world.c
+++ b/tests/core_world.c
@@ -85,23 +85,31 @@
     }
 }
 
-void world_add_job(world *w, unsigned i, double cores)
+void world_put_job(world *w, mv_job spec, const char *id, const char *class_name,
+                   const char *image_name)
 {
-    mv_job j = {.urgency = cores > 8 ? MV_STANDARD : MV_HIGH,
-                .tasks = TASKS,
-                .cores = cores,
-                .ram_gb = cores,
-                .pull_gb = 2,
-                .spot = true,
-                .guess_s = 30,
-                .due_s = -1};
     char key[MV_KEY_SIZE];
-    g_snprintf(j.id, sizeof j.id, "j-%06u", i);
-    g_strlcpy(j.class_name, cores > 8 ? "refresh" : "rush", sizeof j.class_name);
-    g_strlcpy(j.team_name, "a", sizeof j.team_name);
-    g_snprintf(j.image_name, sizeof j.image_name, "img-%u", i % 7);
-    g_snprintf(key, sizeof key, K_JOB "%s", j.id);
-    world_record(w, key, mv_accepted_pack(&j, 0, 1e6));
+    g_strlcpy(spec.id, id, sizeof spec.id);
+    g_strlcpy(spec.class_name, class_name, sizeof spec.class_name);
+    g_strlcpy(spec.team_name, "a", sizeof spec.team_name);
+    g_strlcpy(spec.image_name, image_name, sizeof spec.image_name);
+    spec.due_s = -1;
+    g_snprintf(key, sizeof key, K_JOB "%s", id);
+    world_record(w, key, mv_accepted_pack(&spec, 0, 1e6));
+}
+
+void world_add_job(world *w, unsigned i, double cores)
+{
+    mv_job spec = {.urgency = cores > 8 ? MV_STANDARD : MV_HIGH,
+                   .tasks = TASKS,
+                   .cores = cores,
+                   .ram_gb = cores,
+                   .pull_gb = 2,
+                   .spot = true,
+                   .guess_s = 30};
+    g_autofree char *id = g_strdup_printf("j-%06u", i);
+    g_autofree char *image = g_strdup_printf("img-%u", i % 7);
+    world_put_job(w, spec, id, cores > 8 ? "refresh" : "rush", image);
 }
 
 void world_grant(world *w, uint64_t term)
@@ -248,14 +256,19 @@
     }
 }
 
+void world_renew(world *w, double seconds)
+{
+    w->now += seconds;
+    mv_core_session(w->core, w->now, 7, w->now);
+    mv_core_followed(w->core, w->now, w->now);
+}
+
 void world_pass(world *w, double seconds)
 {
     double tick_s = w->tick_s > 0 ? w->tick_s : 0.1;
     double share = w->machines * tick_s / w->report_s; /* reports between two ticks */
     for (double until = w->now + seconds - 1e-9; w->now < until;) {
-        w->now += tick_s;
-        mv_core_session(w->core, w->now, 7, w->now);
-        mv_core_followed(w->core, w->now, w->now);
+        world_renew(w, tick_s);
         mv_core_tick(w->core, w->now, 1e6 + w->now);
         give_up_commands(w);
         world_drain(w);
@@ -284,9 +297,7 @@
     mv_report r;
     mv_report_answer a;
     unsigned n = 0;
-    w->now += 1;
-    mv_core_session(w->core, w->now, 7, w->now);
-    mv_core_followed(w->core, w->now, w->now);
+    world_renew(w, 1);
     world_report(w, 0, &r);
     mv_core_report(w->core, w->now, &r, &a);
     g_assert_cmpint(a.status, ==, 200);
--- a/tests/core_world.h
+++ b/tests/core_world.h
@@ -50,7 +50,10 @@
 void world_machine_id(unsigned i, char *out, size_t size);
 /* All machines as members of block 0, recorded as in use. */
 void world_blocks(world *w);
-/* A batch job of PIECES tasks; those of more than 8 cores are not urgent. */
+/* A job of the team "a" without a deadline; the numbers are those of `spec`. */
+void world_put_job(world *w, mv_job spec, const char *id, const char *class_name,
+                   const char *image_name);
+/* A batch job of TASKS tasks; those of more than 8 cores are not urgent. */
 void world_add_job(world *w, unsigned i, double cores);
 /* The core under test holds shard 0 under this term. */
 void world_grant(world *w, uint64_t term);
@@ -62,6 +65,8 @@
 void world_report(world *w, unsigned i, mv_report *r);
 /* Carries out what the core decided, at once. */
 void world_drain(world *w);
+/* Time passes; the session and the copy of the records are fresh. */
+void world_renew(world *w, double seconds);
 /* Time passes: ticks, reports in turn, fresh copies. */
 void world_pass(world *w, double seconds);
 /* One report of the only machine; how many orders of that kind for the job its answer holds. */
--- a/tests/test_consolidation.c
+++ b/tests/test_consolidation.c
@@ -28,7 +28,6 @@
 /* A job whose tasks take 8 cores each; `save_every_s` 0: it does not save. */
 static void add_tasks(world *w, const char *id, unsigned tasks, double save_every_s)
 {
-    char key[MV_KEY_SIZE];
     mv_job spec = {.urgency = MV_STANDARD,
                    .tasks = tasks,
                    .cores = 8,
@@ -37,14 +36,8 @@
                    .spot = true,
                    .guess_s = 600,
                    .mark_every_s = save_every_s,
-                   .mark_cost_s = 5,
-                   .due_s = -1};
-    g_strlcpy(spec.id, id, sizeof spec.id);
-    g_strlcpy(spec.class_name, "refit", sizeof spec.class_name);
-    g_strlcpy(spec.team_name, "a", sizeof spec.team_name);
-    g_strlcpy(spec.image_name, "img-1", sizeof spec.image_name);
-    g_snprintf(key, sizeof key, K_JOB "%s", id);
-    world_record(w, key, mv_accepted_pack(&spec, 0, 1e6));
+                   .mark_cost_s = 5};
+    world_put_job(w, spec, id, "refit", "img-1");
 }
 
 /* How many of eight machines are given back in 80 s, one task at work, where idle ones are
--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -131,9 +131,7 @@
     uint64_t list = 0;
     unsigned blocks = 0;
     for (double began = w.now; w.now < began + within;) {
-        w.now += MV_TICK_S;
-        mv_core_session(w.core, w.now, 7, w.now);
-        mv_core_followed(w.core, w.now, w.now);
+        world_renew(&w, MV_TICK_S);
         mv_core_tick(w.core, w.now, 1e6 + w.now);
         mv_action *a;
         while ((a = mv_core_next(w.core))) {
--- a/tests/test_preemption.c
+++ b/tests/test_preemption.c
@@ -19,13 +19,8 @@
                    .spot = true,
                    .guess_s = 300,
                    .mark_every_s = save_every_s,
-                   .mark_cost_s = SAVE_S,
-                   .due_s = -1};
-    g_strlcpy(spec.id, "j-000090", sizeof spec.id);
-    g_strlcpy(spec.class_name, "refit", sizeof spec.class_name);
-    g_strlcpy(spec.team_name, "a", sizeof spec.team_name);
-    g_strlcpy(spec.image_name, "img-1", sizeof spec.image_name);
-    world_record(w, K_JOB "j-000090", mv_accepted_pack(&spec, 0, 1e6));
+                   .mark_cost_s = SAVE_S};
+    world_put_job(w, spec, "j-000090", "refit", "img-1");
 }
 
 /* An urgent job, whose class has an aim of `start_aim` seconds for the start, arrives when the
--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -35,9 +35,7 @@
     unsigned moves = 0;
     for (int i = 0; i < 40; i++) {
         bool stale = i < 20; /* at first what was said under an earlier grant */
-        w.now += 0.1;
-        mv_core_session(w.core, w.now, 7, w.now);
-        mv_core_followed(w.core, w.now, w.now);
+        world_renew(&w, 0.1);
         mv_core_demand(w.core, w.now, world_offer(stale ? 4 : 5, use));
         mv_core_tick(w.core, w.now, 1e6 + w.now);
         mv_action *a;
@@ -126,12 +124,8 @@
     mv_core_tick(w.core, w.now, 1e6 + w.now);
     mv_core_session(w.core, w.now, 7, w.now);
     world_lead(&w, 1);
-    mv_job spec = {.tasks = MV_MAX_TASKS, .cores = 1, .ram_gb = 1, .guess_s = 1, .due_s = -1};
-    g_strlcpy(spec.id, "j-000001", sizeof spec.id);
-    g_strlcpy(spec.class_name, "l", sizeof spec.class_name);
-    g_strlcpy(spec.team_name, "a", sizeof spec.team_name);
-    g_strlcpy(spec.image_name, "i", sizeof spec.image_name);
-    world_record(&w, K_JOB "j-000001", mv_accepted_pack(&spec, 0, 1e6));
+    mv_job spec = {.tasks = MV_MAX_TASKS, .cores = 1, .ram_gb = 1, .guess_s = 1};
+    world_put_job(&w, spec, "j-000001", "l", "i");
     mv_core_synced(w.core, w.now);
     job *j = g_hash_table_lookup(w.core->jobs, "j-000001");
     for (uint32_t i = 0; i < MV_MAX_TASKS; i += 3)
@@ -140,9 +134,7 @@
     for (int i = 0; i < 400; i++) {
         if (i == 200) /* over: every record has to go */
             world_record(&w, K_JOB "j-000001", NULL);
-        w.now += 0.5;
-        mv_core_session(w.core, w.now, 7, w.now);
-        mv_core_followed(w.core, w.now, w.now);
+        world_renew(&w, 0.5);
         mv_core_tick(w.core, w.now, 1e6 + w.now);
         mv_action *a;
         while ((a = mv_core_next(w.core))) {
@@ -259,9 +251,7 @@
     mv_core_synced(w.core, w.now);
     bool handed_on = false;
     for (int i = 0; i < 500; i++) {
-        w.now += 0.1;
-        mv_core_session(w.core, w.now, 7, w.now);
-        mv_core_followed(w.core, w.now, w.now);
+        world_renew(&w, 0.1);
         if (!handed_on) {
             mv_demand *d = world_offer(5, 0);
             d->resign = true;
--- a/tests/test_replicas.c
+++ b/tests/test_replicas.c
@@ -59,21 +59,14 @@
 /* A service of two-core replicas. */
 static void add_service(world *w, const char *id, unsigned replicas, bool spot)
 {
-    char key[MV_KEY_SIZE];
-    mv_job j = {.service = true,
-                .urgency = MV_PROD,
-                .tasks = replicas,
-                .cores = 2,
-                .ram_gb = 2,
-                .pull_gb = 2};
-    g_strlcpy(j.id, id, sizeof j.id);
-    g_strlcpy(j.class_name, "api", sizeof j.class_name);
-    g_strlcpy(j.team_name, "a", sizeof j.team_name);
-    g_strlcpy(j.image_name, "img", sizeof j.image_name);
-    j.spot = spot;
-    j.due_s = -1;
-    g_snprintf(key, sizeof key, K_JOB "%s", id);
-    world_record(w, key, mv_accepted_pack(&j, 0, 1e6));
+    mv_job spec = {.service = true,
+                   .urgency = MV_PROD,
+                   .tasks = replicas,
+                   .cores = 2,
+                   .ram_gb = 2,
+                   .pull_gb = 2,
+                   .spot = spot};
+    world_put_job(w, spec, id, "api", "img");
 }
 
 /* Before the first service a large block asks for a lasting machine in reserve, for which nobody's
--- a/tests/test_size.c
+++ b/tests/test_size.c
@@ -186,9 +186,7 @@
             g_array_append_val(members, m);
             world_record(&w, K_BLOCK "0/0", mv_block_pack(members));
         }
-        w.now += 1;
-        mv_core_session(w.core, w.now, 7, w.now);
-        mv_core_followed(w.core, w.now, w.now);
+        world_renew(&w, 1);
         world_report(&w, 0, &r);
         mv_core_report(w.core, w.now, &r, &a);
         answered += a.status == 200 && i > MV_LATE_START_S && i < 30;
@@ -233,9 +231,7 @@
         w.now += 0.1;
         mv_core_tick(w.core, w.now, 1e6 + w.now);
     }
-    w.now += 0.1;
-    mv_core_session(w.core, w.now, 7, w.now);
-    mv_core_followed(w.core, w.now, w.now);
+    world_renew(&w, 0.1);
     unsigned given_up = 0;
     for (int i = 0; i < 10; i++) {
         w.now += 0.1;
