Connectivity: a controller that is cut off from the state service starts nothing

Need: a holder went on placing for its block lease (15 to 25 s) whatever kept the state service from it, and could not tell an outage from its own cut. What it started might end unrecorded.

Change: src/connectivity/ (pure): each controller's view of its links, told to peers every 0.7 s; a class of its links from its own traffic and from peers; a launch gate with a hold that doubles; ends of tasks that cannot be recorded, told to peers as Roaring bitmaps. The core asks the gate when it places, when it puts a launch into a command or an answer, and before a command goes out. The leader passes on the blocks of a holder that says it alone is cut off.

Found by the property test (RapidCheck) and mended, with the gate and without: a controller cut off from its machines for some seconds took one for deaf with its first report after the cut and returned it at work (guard OWN_CUT).

--- a/src/bookkeeping/settings.c
+++ b/src/bookkeeping/settings.c
@@ -205,6 +205,12 @@
     s->ram_mb = number(r, "settings.machine_limits.ram_mb", 24, 1e7, 128);
 }
 
+static const cyaml_strval_t switch_words[] = {{"false", false}, {"true", true}};
+static const cyaml_strval_t without_state_words[] = {
+    {"lease", MV_LAUNCH_LEASE}, {"guaranteed", MV_LAUNCH_GUARANTEES}, {"never", MV_LAUNCH_NEVER}};
+static const cyaml_strval_t without_witness_words[] = {{"cut_off", MV_WITHOUT_WITNESS_CUT_OFF},
+                                                       {"outage", MV_WITHOUT_WITNESS_OUTAGE}};
+
 static const cyaml_schema_field_t tunable_fields[] = {
     CYAML_FIELD_FLOAT("image_wait_s", CYAML_FLAG_OPTIONAL, mv_tunables, image_wait_s),
     CYAML_FIELD_FLOAT("block_lease_s", CYAML_FLAG_OPTIONAL, mv_tunables, block_lease_s),
@@ -212,6 +218,14 @@
     CYAML_FIELD_FLOAT("boot_factor", CYAML_FLAG_OPTIONAL, mv_tunables, boot_factor),
     CYAML_FIELD_UINT("shards", CYAML_FLAG_OPTIONAL, mv_tunables, shards),
     CYAML_FIELD_UINT("spare_machines", CYAML_FLAG_OPTIONAL, mv_tunables, spare_machines),
+    /* As an enumeration: the library takes any unknown word for true. */
+    CYAML_FIELD_ENUM("launch_gate", CYAML_FLAG_OPTIONAL | CYAML_FLAG_STRICT, mv_tunables,
+                     launch_gate, switch_words, G_N_ELEMENTS(switch_words)),
+    CYAML_FIELD_ENUM("launch_without_state", CYAML_FLAG_OPTIONAL | CYAML_FLAG_STRICT, mv_tunables,
+                     launch_without_state, without_state_words, G_N_ELEMENTS(without_state_words)),
+    CYAML_FIELD_ENUM("launch_without_witness", CYAML_FLAG_OPTIONAL | CYAML_FLAG_STRICT, mv_tunables,
+                     launch_without_witness, without_witness_words,
+                     G_N_ELEMENTS(without_witness_words)),
     CYAML_FIELD_END};
 
 static const cyaml_schema_value_t tunable_schema = {
@@ -272,6 +286,9 @@
     if (got->shards)
         out->shards = got->shards;
     out->spare_machines = got->spare_machines;
+    out->launch_gate = got->launch_gate;
+    out->launch_without_state = got->launch_without_state;
+    out->launch_without_witness = got->launch_without_witness;
     cyaml_free(&config, &tunable_schema, got, 0);
 }
 
--- a/src/bookkeeping/settings.h
+++ b/src/bookkeeping/settings.h
@@ -38,6 +38,16 @@
     double within_s, share;
 } mv_objective;
 
+/* What a controller may start while the state service is silent for everybody. */
+typedef enum {
+    MV_LAUNCH_LEASE,      /* everything, until the lease of its block is over */
+    MV_LAUNCH_GUARANTEES, /* work within a team's guarantee, and services */
+    MV_LAUNCH_NEVER       /* nothing */
+} mv_launch_without_state;
+
+/* What a silent state service means while no other controller can be asked. */
+typedef enum { MV_WITHOUT_WITNESS_CUT_OFF, MV_WITHOUT_WITNESS_OUTAGE } mv_launch_without_witness;
+
 /* What operators may tune; every value has a default in constants.h. */
 typedef struct {
     double image_wait_s;
@@ -46,6 +56,9 @@
     double boot_factor;
     unsigned shards;
     unsigned spare_machines;
+    bool launch_gate; /* a controller that is cut off starts nothing */
+    mv_launch_without_state launch_without_state;
+    mv_launch_without_witness launch_without_witness;
 } mv_tunables;
 
 typedef struct {
--- a/src/constants.h
+++ b/src/constants.h
@@ -48,6 +48,30 @@
 #define MV_AVOID_S 60.0     /* and then gets no other block for so long */
 #define MV_REBALANCE_S 10.0 /* pause between moves of shards to controllers that came back */
 
+/* --- links between machines, seconds --- */
+#define MV_COPY_LOST_S 5.5     /* a watch lasts 3 s; beyond it, its time-out and a pause */
+#define MV_WITNESS_FAILURES 2u /* of a peer that was never answered, before its word counts */
+#define MV_VAIN_S                                                                                  \
+    1.4 /* a peer whose last answer is older asks in vain: a renewal and its time-out */
+#define MV_SUSPECT_GRACE_S 0.6 /* suspected for so long, a controller starts nothing */
+#define MV_JUDGE_S 1.5      /* peers have this long to say whether they reach the state service */
+#define MV_VIEW_S 0.7       /* between views told to a peer: as often as sessions are renewed */
+#define MV_VIEW_SOON_S 0.25 /* and while the state service is silent */
+#define MV_VIEW_FRESH_S 2.0 /* older views of peers say nothing: three are told in this time */
+#define MV_VIEWS_REMEMBERED 256u /* times of our own views: 2 s of them, to 30 peers at once */
+#define MV_VIEW_TIMEOUT_MS 600   /* a view that a peer does not answer */
+#define MV_WITNESS_GAP_S                                                                           \
+    1.5 /* a peer answered so much later than we: two renewals and their time-outs */
+#define MV_PEER_SILENT_S 3.0     /* no answer of a peer for so long, */
+#define MV_PEER_FAILURES 3u      /* and to so many requests: its link is broken */
+#define MV_GIVE_UP_S 1.0         /* cut off for so long, a holder is relieved of its blocks */
+#define MV_HOLD_FIRST_S 0.5      /* links have to be steady for this long after a break, */
+#define MV_HOLD_MOST_S 8.0       /* doubled with each, to this at most: a take-over costs as much */
+#define MV_HOLD_FORGET_S 60.0    /* and after so long without one it is the first again */
+#define MV_OUTCOME_JOB_BYTES 128 /* of memory for each job with ends that are not recorded */
+#define MV_OUTCOMES_BYTES (1024 * 1024)    /* and for all: 100,000 tasks of a job take 16 KB */
+#define MV_OUTCOMES_TOLD_BYTES (64 * 1024) /* of them in one view */
+
 /* --- placement, seconds --- */
 #define MV_IMAGE_WAIT_S 5.0    /* DESIGN: wait for a machine that has the image */
 #define MV_ROUNDING 1e-6       /* cores, cards, GB: sums of decimal fractions */
--- a/src/coordination/commands.c
+++ b/src/coordination/commands.c
@@ -144,7 +144,7 @@
     for (guint i = 0; m->confirmed && i < m->placements->len && orders->len < MV_MAX_ORDERS; i++) {
         placement *p = g_ptr_array_index(m->placements, i);
         const job *j = p->of;
-        if (j && !p->seen && !p->sent_direct && !p->stopping) {
+        if (j && !p->seen && !p->sent_direct && !p->stopping && mv_may_launch(c, j)) {
             mv_launch_order(p, orders);
             p->sent_direct = true;
         } else if (p->seen && (!j || p->stopping) && p->stop_sent_at == 0) {
@@ -212,8 +212,13 @@
     m->command_fails++;
     /* Only while others are heard does silence speak of the machine rather than of our own line:
      * counted during a cut, it had working machines given back as the cut ended. */
-    if (m->shard && m->shard->heard_at > m->command_at && c->now > c->late_until)
+    bool listening = m->shard && m->shard->heard_at > m->command_at && c->now > c->late_until;
+    if (listening)
         m->proofs++;
+    /* The same for deafness: with questions of a cut of ours counted, a machine at work was taken
+     * for deaf with its first report after the cut, and returned. */
+    if (GUARD(OWN_CUT, listening) && m->deaf_heard_fails++ == 0)
+        m->deaf_heard_since = c->now;
     if (!m->deaf_since)
         m->deaf_since = c->now;
     m->deaf_fails++;
@@ -231,18 +236,32 @@
     }
 }
 
+/* A launch that waited in a queue since before a cut is not sent: the job may have been called off,
+ * and its end could not be recorded. */
+static bool launches_stand(mv_core *c, const mv_action *a)
+{
+    for (guint i = 0; i < a->orders->len; i++) {
+        const mv_order *o = &g_array_index(a->orders, mv_order, i);
+        const job *j = o->verb == MV_LAUNCH ? g_hash_table_lookup(c->jobs, o->job) : NULL;
+        if (o->verb == MV_LAUNCH && j && !mv_may_launch(c, j))
+            return false;
+    }
+    return true;
+}
+
 static bool command_still_valid(mv_core *c, const mv_action *a)
 {
     const machine *m = g_hash_table_lookup(c->commands, &a->id);
     if (!m) /* a question to a machine in no block, or an earlier term's command */
         return mv_leads(c) && g_hash_table_find(c->inquiries, has_command, (gpointer)&a->id);
     return m->shard && mv_holds(c, m->shard) && a->token == mv_token(m) &&
-           c->now < m->command_at + MV_COMMAND_FRESH_S;
+           c->now < m->command_at + MV_COMMAND_FRESH_S && launches_stand(c, a);
 }
 
 bool mv_core_still_valid(mv_core *c, double now, const mv_action *a)
 {
     c->now = MAX(c->now, now);
+    mv_links_update(c);
     if (a->kind == MV_ACT_COMMAND)
         return GUARD(STILL_VALID, command_still_valid(c, a));
     bool leaders = a->kind == MV_ACT_RENT || a->kind == MV_ACT_RELEASE;
--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -188,6 +188,7 @@
     c->learnt = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     c->actions = g_queue_new();
     c->rentals = g_ptr_array_new_with_free_func(free_rental);
+    mv_links_new(c);
     c->refused = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     c->avoided = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     c->released_names = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -202,6 +203,7 @@
     while ((a = g_queue_pop_head(c->actions)))
         mv_action_free(a);
     g_queue_free(c->actions);
+    mv_links_free(c);
     g_ptr_array_unref(c->rotation);
     g_ptr_array_unref(c->commandable);
     g_ptr_array_unref(c->open);
@@ -269,6 +271,7 @@
     mv_adapt_command_window(c, gap);
     c->ticked_at = c->now;
     mv_settle_left(c);
+    mv_links_tick(c);
     if (c->synced) {
         mv_membership_tick(c);
         mv_holders_tick(c);
@@ -283,10 +286,14 @@
 {
     enter(c, now);
     c->session = incarnation != 0;
+    if (c->links && !incarnation)
+        mv_connectivity_session_lost(c->links);
     if (!incarnation)
         return;
     c->incarnation = incarnation;
     c->contact = MAX(c->contact, sent);
+    if (c->links)
+        mv_connectivity_state_answered(c->links, c->now, incarnation, sent);
 }
 
 void mv_core_followed(mv_core *c, double now, double sent)
@@ -296,6 +303,8 @@
         c->listing = false;
     mv_settle_left(c);
     c->replica_contact = MAX(c->replica_contact, sent);
+    if (c->links)
+        mv_connectivity_followed(c->links, sent);
 }
 
 /* --- records --- */
@@ -586,6 +595,9 @@
     out->jobs = g_hash_table_size(c->jobs);
     out->machines = g_hash_table_size(c->machines);
     out->machines_up = 0;
+    out->outcomes_waiting = c->outcomes ? mv_outcomes_waiting(c->outcomes) : 0;
+    out->links = c->links ? mv_connectivity_class(c->links) : MV_LINKS_UNKNOWN;
+    out->held = c->links && mv_connectivity_gate(c->links)->scope == MV_LAUNCH_NOTHING;
     GHashTableIter it;
     gpointer v;
     g_hash_table_iter_init(&it, c->machines);
--- a/src/coordination/core.h
+++ b/src/coordination/core.h
@@ -5,6 +5,7 @@
 #ifndef MV_CORE_H
 #define MV_CORE_H
 #include "bookkeeping/settings.h"
+#include "connectivity/view.h"
 #include "protocol/records.h"
 
 typedef struct mv_core mv_core;
@@ -101,6 +102,8 @@
 /* Our session at the state service: confirmed by a request sent at `sent`; lost when incarnation
  * is 0. The incarnation names this process for good. */
 void mv_core_session(mv_core *core, double now, uint64_t incarnation, double sent);
+/* A renewal of the session got no answer, or a refusal. */
+void mv_core_state_failed(mv_core *core, double now);
 /* The copy of the live records: first all of them, then every change in order. */
 void mv_core_record(mv_core *core, double now, const char *key, GBytes *data, uint64_t stamp);
 /* The copy holds every change made before `sent`. */
@@ -143,6 +146,17 @@
 /* What the leader's answer to our demand said. */
 void mv_core_others_need(mv_core *core, double now, mv_others others);
 
+/* --- views, exchanged with every other controller --- */
+/* Whether views are told at all, and how long until the next, seconds. */
+bool mv_core_tells_views(const mv_core *core);
+double mv_core_view_pause(const mv_core *core);
+/* Our view of our links, and ends of tasks that we cannot record. The caller frees. */
+mv_view *mv_core_tell_view(mv_core *core, double now);
+/* A peer's view, as a message of its own or in answer to ours. */
+void mv_core_view(mv_core *core, double now, const mv_view *view);
+/* A view told to a peer at `sent` was answered or not. */
+void mv_core_peer_asked(mv_core *core, double now, const char *peer, double sent, bool answered);
+
 /* --- questions --- */
 typedef enum { MV_FITS, MV_NEVER_FITS, MV_CANNOT_SAY } mv_fit;
 mv_fit mv_core_fits(const mv_core *core, const mv_job *job);
@@ -183,8 +197,10 @@
 
 typedef struct {
     uint64_t rounds, placed, finished, requeued, preempted, faults, rented, released, takeovers,
-        moved, looked, halved, stale;
-    unsigned jobs, waiting, running, machines, machines_up;
+        moved, looked, halved, stale, views, views_refused, launches_held, outcomes_learnt;
+    unsigned jobs, waiting, running, machines, machines_up, outcomes_waiting;
+    mv_link_class links;
+    bool held; /* launches are */
 } mv_core_counts;
 void mv_core_counts_get(const mv_core *core, mv_core_counts *out);
 #endif
--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -2,6 +2,8 @@
 #ifndef MV_CORE_INTERNAL_H
 #define MV_CORE_INTERNAL_H
 #include "coordination/core.h"
+#include "connectivity/connectivity.h"
+#include "connectivity/outcomes.h"
 #include "protocol/names.h"
 
 /* The main guards have names, so that the tests can show that each is needed: in their build of
@@ -35,7 +37,11 @@
     MV_GUARD_WINDOW,         /* fewer commands are under way while our own processor is short */
     MV_GUARD_LISTENING,      /* machines are not given up for a time in which we could not hear */
     MV_GUARD_REPEATED,       /* a record that is read twice is no news */
-    MV_GUARD_LISTING         /* no machine leaves on the strength of a list alone */
+    MV_GUARD_LISTING,        /* no machine leaves on the strength of a list alone */
+    MV_GUARD_OWN_CUT,        /* no machine is deaf for what it missed while we heard nobody */
+    MV_GUARD_LAUNCH_GATE,    /* a controller that is cut off starts nothing */
+    MV_GUARD_FINAL,          /* a job's final record is written once */
+    MV_GUARD_OUTCOMES        /* ends that cannot be recorded are told to peers */
 } mv_guard;
 
 #ifdef MV_BREAKABLE
@@ -143,11 +149,13 @@
     bool vacate;    /* it is emptied for services of other shards */
     uint64_t offer; /* stamp of the record of its use when it was offered to others; 0: not */
     double no_room_until, watched_at;
-    double deaf_since;   /* when something of ours first got no answer; 0: all arrived */
-    unsigned deaf_fails; /* commands without an answer since then */
-    double cleared_at;   /* when ended tasks were last cleared */
-    bool clearing;       /* those of the report at hand are */
-    double answered_at;  /* a report under an older token got ours in answer */
+    double deaf_since;         /* when something of ours first got no answer; 0: all arrived */
+    unsigned deaf_fails;       /* commands without an answer since then */
+    double deaf_heard_since;   /* when the first of them was missed while reports came; 0: none */
+    unsigned deaf_heard_fails; /* and how many were */
+    double cleared_at;         /* when ended tasks were last cleared */
+    bool clearing;             /* those of the report at hand are */
+    double answered_at;        /* a report under an older token got ours in answer */
     double pace;      /* run times here over those of the same jobs elsewhere, smoothed; 1: alike */
     mv_room promised; /* within a round, to work that room is being made for */
     GHashTable *failed_jobs; /* id -> whether the job did well elsewhere */
@@ -346,6 +354,10 @@
     uint64_t attempts; /* counter within our term */
     bool want_round;
     double next_round;
+    /* links */
+    mv_connectivity *links; /* NULL: the operators have not asked for the launch gate */
+    mv_outcomes *outcomes;
+    uint64_t boot; /* names this process to its peers */
     /* election */
     txn_slot node_txn, leader_txn, grant_txn, progress_txn, sweep_txn, format_txn;
     txn_slot term_txn; /* of a block, with a new term: one at a time, or all but one conflict */
@@ -393,6 +405,20 @@
 bool mv_pending(const mv_core *c, txn_slot *t);
 void mv_seen(const mv_core *c, txn_slot *t);
 void mv_sent(const mv_core *c, txn_slot *t, const mv_action *a);
+/* reachability.c */
+void mv_links_new(mv_core *c);
+void mv_links_free(mv_core *c);
+/* Judges the links by the present time. */
+void mv_links_update(mv_core *c);
+void mv_links_tick(mv_core *c);
+/* Whether tasks of the job may be started now. Asked when a task is placed, when a launch is put
+ * into a command or an answer, and once more before a command goes out. */
+bool mv_may_launch(mv_core *c, const job *j);
+bool mv_may_launch_any(mv_core *c);
+/* The holder of a shard says that it alone is cut off from the state service. */
+bool mv_holder_gave_up(const mv_core *c, const shard *s);
+void mv_outcome_seen(mv_core *c, const job *j, uint32_t task);
+void mv_outcome_recorded(mv_core *c, const job *j, uint32_t task);
 /* membership.c */
 void mv_membership_tick(mv_core *c);
 bool mv_live(const mv_core *c, const mv_holder *h);
--- a/src/coordination/jobs.c
+++ b/src/coordination/jobs.c
@@ -170,6 +170,8 @@
     }
     if (j->n_done == j->spec.tasks)
         c->counts.finished++;
+    if (c->outcomes)
+        mv_outcomes_job_over(c->outcomes, j->spec.id);
     if (j->ending_txn)
         g_hash_table_remove(c->ending, &j->ending_txn);
     /* Those that were not removed along with it. */
@@ -249,6 +251,7 @@
         }
         j->state[task] = T_STORED;
         j->n_stored++;
+        mv_outcome_recorded(c, j, task);
     }
 }
 
@@ -264,6 +267,7 @@
     j->n_done++;
     j->fails = 0;
     j->chunk_dirty[task / j->chunk_tasks] = true;
+    mv_outcome_seen(c, j, task);
     c->want_round = true;
 }
 
@@ -375,7 +379,8 @@
     shard_key(j, owner, sizeof owner);
     mv_txn_if(a, owner, j->home->stamp);
     g_snprintf(key, sizeof key, K_JOB "%s", j->spec.id);
-    mv_txn_if(a, key, j->stamp);
+    if (!GUARD(FINAL, false))
+        mv_txn_if(a, key, j->stamp);
     mv_txn_remove(a, key);
     /* As many as there is room for; what is left is swept up. */
     GHashTableIter it;
@@ -386,7 +391,9 @@
         mv_txn_remove(a, key);
     }
     g_snprintf(key, sizeof key, K_FINAL "%s", j->spec.id);
-    mv_txn_if(a, key, 0);
+    /* Carried out late, it would else write a second final answer over a cancellation. */
+    if (!GUARD(FINAL, false))
+        mv_txn_if(a, key, 0);
     mv_txn_set(a, key, mv_final_pack(true, j->spec.tasks, mv_wall(c)), false);
     j->ending = true;
     if (j->ending_txn)
--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -257,8 +257,9 @@
         holders[i] = s->holder;
         holders[i].teams = copy_teams(s->holder.teams);
         bool dead = !s->stamp || !mv_live(c, &s->holder);
-        const node_entry *to = dead              ? least_loaded(c, extra, NULL)
-                               : resigned(c, s)  ? least_loaded(c, extra, s->holder.node)
+        const node_entry *to = dead ? least_loaded(c, extra, NULL)
+                               : resigned(c, s) || mv_holder_gave_up(c, s)
+                                   ? least_loaded(c, extra, s->holder.node)
                                : (int)i == moved ? moved_to
                                                  : NULL;
         if (!to)
--- a/src/coordination/overview.c
+++ b/src/coordination/overview.c
@@ -24,6 +24,8 @@
     const shard *s = t ? j->home : NULL;
     if (!s || !s->stamp)
         return "no controller owns it";
+    if (s->mine && c->links && mv_connectivity_gate(c->links)->scope == MV_LAUNCH_NOTHING)
+        return "launches are held";
     if (j->backoff_until > c->now)
         return "its tasks failed";
     if (t->conf->cpus_max > 0 && t->used_cores + j->spec.cores > t->conf->cpus_max)
@@ -33,12 +35,43 @@
     return s->mine ? "no room" : "see its owner";
 }
 
+static void overview_link(mv_out *o, const char *name, const char *links, double age_s,
+                          double for_s, const char *held, unsigned waiting)
+{
+    mv_put_map(o, 6);
+    mv_field_text(o, N_NAME, name);
+    mv_field_text(o, "links", links);
+    mv_field_num(o, "view_age_s", age_s);
+    mv_field_num(o, "for_s", for_s);
+    mv_field_text(o, "held", held);
+    mv_field_u64(o, "outcomes_waiting", waiting);
+}
+
+/* This controller first, then the others as their views tell; none where views are not told. */
+static void overview_links(const mv_core *c, mv_out *o, double now)
+{
+    unsigned peers = c->links ? mv_connectivity_peers(c->links) : 0;
+    mv_put_text(o, "links");
+    mv_put_list(o, c->links ? peers + 1 : 0);
+    if (c->links)
+        overview_link(o, c->conf->node_name, mv_link_class_name(mv_connectivity_class(c->links)), 0,
+                      now - mv_connectivity_class_since(c->links),
+                      mv_connectivity_why_held(c->links), mv_outcomes_waiting(c->outcomes));
+    for (unsigned i = 0; i < peers; i++) {
+        mv_peer_state peer = mv_connectivity_peer(c->links, now, i);
+        overview_link(o, peer.name, peer.known ? mv_link_class_name(peer.links) : "no view",
+                      peer.view_age_s, peer.class_for_s,
+                      peer.launches_held ? "see its own picture" : "", peer.waiting);
+    }
+}
+
 GBytes *mv_core_overview(const mv_core *c, double now)
 {
     mv_out *o = mv_out_new();
     GHashTableIter it;
     gpointer v;
-    mv_put_map(o, 7);
+    mv_put_map(o, 8);
+    overview_links(c, o, now);
     mv_field_bool(o, "all_new", mv_core_all_new(c));
     mv_put_text(o, "formats"); /* of the controllers, in their order */
     mv_put_list(o, g_hash_table_size(c->nodes));
--- a/src/coordination/placement.c
+++ b/src/coordination/placement.c
@@ -512,7 +512,7 @@
     judge(c, jobs);
     c->work = jobs->len;
     g_ptr_array_set_size(c->unplaced, 0);
-    if (c->counts.waiting == 0)
+    if (c->counts.waiting == 0 || !mv_may_launch_any(c))
         return;
     note_unknown(c);
     open_machines(c);
@@ -520,7 +520,8 @@
     g_ptr_array_sort(jobs, by_claim);
     for (guint i = 0; i < jobs->len; i++) {
         job *j = g_ptr_array_index(jobs, i);
-        if (!j->waiting->len || c->now < j->backoff_until || perhaps_running(c, j))
+        if (!j->waiting->len || c->now < j->backoff_until || perhaps_running(c, j) ||
+            !mv_may_launch(c, j))
             continue;
         fill_from(c, j);
         hold_room(c, j);
--- a/src/coordination/reports.c
+++ b/src/coordination/reports.c
@@ -156,7 +156,7 @@
             /* Cancelled before it was seen: gone once no launch can arrive any more. */
             if (!in_flight && !p->unsettled)
                 mv_drop_placement(c, m, i, false);
-        } else if (!in_flight) {
+        } else if (!in_flight && mv_may_launch(c, p->of)) {
             mv_launch_order(p, orders); /* the same attempt again does no harm */
         }
     }
@@ -173,8 +173,8 @@
 /* Something of ours reached the worker: a command was answered, or a report shows its effect. */
 void mv_delivered(machine *m)
 {
-    m->deaf_since = 0;
-    m->deaf_fails = 0;
+    m->deaf_since = m->deaf_heard_since = 0;
+    m->deaf_fails = m->deaf_heard_fails = 0;
 }
 
 static void new_session(mv_core *c, machine *m, uint64_t session)
@@ -209,11 +209,11 @@
  * it. Where that is so of most, it is rather our own line, for a while. */
 bool mv_is_deaf(const mv_core *c, const machine *m)
 {
-    double interval = c->conf->report_s, deaf_for = c->now - m->deaf_since;
+    double interval = c->conf->report_s, deaf_for = c->now - m->deaf_heard_since;
     bool heard = m->heard_at > m->deaf_since && c->now < m->heard_at + MV_HEARD_REPORTS * interval;
     double needed = (m->shard->mute ? MV_MUTE_REPORTS : MV_DEAF_REPORTS) * interval;
-    return !GUARD(DEAF, false) && m->deaf_since > 0 && heard && m->deaf_fails >= MV_DEAF_FAILS &&
-           deaf_for > needed && c->now > c->late_until;
+    return !GUARD(DEAF, false) && m->deaf_since > 0 && heard &&
+           m->deaf_heard_fails >= MV_DEAF_FAILS && deaf_for > needed && c->now > c->late_until;
 }
 
 /* Reads what a report proves; `orders` gets what the worker should do. */
@@ -330,6 +330,7 @@
         a->status = 503;
         return;
     }
+    mv_links_update(c);
     a->status = 200;
     a->token = mv_token(m);
     a->orders = g_array_new(FALSE, TRUE, sizeof(mv_order));
--- a/src/service/daemon.c
+++ b/src/service/daemon.c
@@ -133,6 +133,8 @@
               mv_daemon_start_thread(d, mv_daemon_demand_routine) &&
               mv_daemon_start_thread(d, mv_daemon_health_routine) &&
               mv_daemon_start_thread(d, mv_daemon_deferrable_txn_routine);
+    for (size_t i = 0; i < d->conf->n_peers && mv_core_tells_views(d->core); i++)
+        ok = ok && mv_daemon_start_thread(d, mv_daemon_view_routine);
     for (int i = 0; i < MV_TXN_THREADS; i++)
         ok = ok && mv_daemon_start_thread(d, mv_daemon_txn_routine);
     for (int i = 0; i < MV_COMMAND_THREADS; i++)
@@ -175,8 +177,11 @@
     d->known = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     g_snprintf(d->cloud_at, sizeof d->cloud_at, "%s:%u", conf->cloud.host, conf->cloud.port);
     d->peers = g_new0(mv_peer *, conf->n_peers + 1);
-    for (size_t i = 0; i < conf->n_peers; i++)
+    d->views = g_new0(mv_peer *, conf->n_peers + 1);
+    for (size_t i = 0; i < conf->n_peers; i++) {
         d->peers[i] = mv_peer_new(&conf->peers[i].back);
+        d->views[i] = mv_peer_new(&conf->peers[i].back);
+    }
     mv_core_tick(d->core, mv_steady(), time_of_day()); /* records speak of the time of day */
     mv_http_client_init();
     d->back = mv_peer_listen(&conf->back, mv_daemon_on_peer, d);
@@ -214,9 +219,12 @@
         g_queue_clear_full(&mv_daemon_queue_at(d, i)->actions, action_free);
         pthread_cond_destroy(&mv_daemon_queue_at(d, i)->filled);
     }
-    for (size_t i = 0; i < d->conf->n_peers; i++)
+    for (size_t i = 0; i < d->conf->n_peers; i++) {
         mv_peer_free(d->peers[i]);
+        mv_peer_free(d->views[i]);
+    }
     g_free(d->peers);
+    g_free(d->views);
     g_ptr_array_unref(d->threads);
     g_hash_table_unref(d->known);
     mv_core_free(d->core);
--- a/src/service/daemon_internal.h
+++ b/src/service/daemon_internal.h
@@ -44,7 +44,9 @@
     mv_http_server *http;
     gint peer_answered;
     mv_peer_server *back;
-    mv_peer **peers; /* like conf->peers */
+    mv_peer **peers;  /* like conf->peers */
+    mv_peer **views;  /* the same, for views; none unless they are told */
+    size_t next_view; /* for the routines that tell them, as they begin */
     char cloud_at[80];
     GHashTable *known; /* the copy's keys, used by the follower only */
     GHashTable *listed;
@@ -74,4 +76,5 @@
 GBytes *mv_daemon_on_peer(void *ctx, const uint8_t *frame, size_t size);
 void *mv_daemon_demand_routine(void *arg);
 void *mv_daemon_health_routine(void *arg);
+void *mv_daemon_view_routine(void *arg);
 #endif
--- a/src/service/peers.c
+++ b/src/service/peers.c
@@ -3,6 +3,7 @@
 
 #include "peer.pb-c.h"
 #include "service/peer_codec.h"
+#include "service/view_codec.h"
 
 #include <string.h>
 
@@ -16,6 +17,30 @@
     return NULL;
 }
 
+/* A view that cannot be read counts as malformed: it names nobody. */
+static void take_view(mv_core *core, double now, const Mv__View *message)
+{
+    g_autoptr(mv_view) view = mv_view_unpack(message);
+    g_autoptr(mv_view) nobody = view ? NULL : mv_view_new();
+    mv_core_view(core, now, view ? view : nobody);
+}
+
+/* A controller whose operators have not asked for views answers as an old version does: without
+ * one. */
+static GBytes *answer_view(mv_daemon *d, const Mv__View *message)
+{
+    double now;
+    mv_core *core = mv_daemon_enter(d, &now);
+    g_autoptr(mv_view) own = NULL;
+    if (mv_core_tells_views(core)) {
+        take_view(core, now, message);
+        own = mv_core_tell_view(core, now);
+    }
+    mv_daemon_leave(d);
+    Mv__Answer none = MV__ANSWER__INIT;
+    return own ? mv_view_answer_pack(own) : mv_answer_pack(&none);
+}
+
 /* A peer's message, in a routine of its connection. */
 GBytes *mv_daemon_on_peer(void *ctx, const uint8_t *frame, size_t size)
 {
@@ -24,6 +49,11 @@
     Mv__Ask *ask = mv__ask__unpack(NULL, size, frame);
     if (!ask)
         return NULL;
+    if (ask->what_case == MV__ASK__WHAT_VIEW) {
+        GBytes *told = answer_view(d, ask->view);
+        mv__ask__free_unpacked(ask, NULL);
+        return told;
+    }
     Mv__Answer answer = MV__ANSWER__INIT;
     mv_reply reply = {0};
     if (ask->what_case == MV__ASK__WHAT_DEMAND) {
@@ -158,3 +188,45 @@
     } while (mv_daemon_rest(d, MV_HEALTH_S));
     return NULL;
 }
+
+/* --- views --- */
+
+static double tell_view(mv_daemon *d, size_t peer)
+{
+    double sent, now;
+    mv_core *core = mv_daemon_enter(d, &sent);
+    g_autoptr(mv_view) own = mv_core_tell_view(core, sent);
+    mv_daemon_leave(d);
+    g_autoptr(GBytes) frame = mv_view_pack(own);
+    gsize size;
+    const uint8_t *bytes = g_bytes_get_data(frame, &size);
+    g_autoptr(GBytes) got = mv_peer_ask(d->views[peer], bytes, size, MV_VIEW_TIMEOUT_MS);
+    gsize length = 0;
+    const uint8_t *told = got ? g_bytes_get_data(got, &length) : NULL;
+    Mv__Answer *answer = got ? mv__answer__unpack(NULL, length, told) : NULL;
+    core = mv_daemon_enter(d, &now);
+    mv_core_peer_asked(core, now, d->conf->peers[peer].name, sent, answer != NULL);
+    if (answer && answer->view)
+        take_view(core, now, answer->view);
+    double pause = mv_core_view_pause(core);
+    mv_daemon_leave(d);
+    if (answer)
+        mv__answer__free_unpacked(answer, NULL);
+    return pause;
+}
+
+/* One routine for each peer, with a connection of its own: one that says nothing holds up neither
+ * the views of others nor demands. */
+void *mv_daemon_view_routine(void *arg)
+{
+    mv_daemon *d = arg;
+    pthread_mutex_lock(&d->lock);
+    size_t peer = d->next_view++;
+    bool tells = mv_core_tells_views(d->core);
+    pthread_mutex_unlock(&d->lock);
+    if (!tells)
+        return NULL;
+    while (mv_daemon_rest(d, tell_view(d, peer)))
+        ;
+    return NULL;
+}
--- a/src/service/replication.c
+++ b/src/service/replication.c
@@ -26,6 +26,8 @@
             mv_core_session(core, now, incarnation, sent);
         else if (r == MV_STATE_MISSING)
             mv_core_session(core, now, 0, sent);
+        else
+            mv_core_state_failed(core, now);
         mv_daemon_leave(d);
         have = r == MV_STATE_OK || (have && r != MV_STATE_MISSING);
         if (r != MV_STATE_OK)
--- a/src/service/routes.c
+++ b/src/service/routes.c
@@ -3,6 +3,7 @@
 #include "bookkeeping/metrics.h"
 #include "protocol/names.h"
 #include "service/daemon.h"
+#include "service/operator_pages.h"
 
 #include <pthread.h>
 #include <string.h>
@@ -357,77 +358,6 @@
     mv_report_clear(&rep);
 }
 
-/* --- operators --- */
-
-static void health(mv_daemon *d, mv_reply *r)
-{
-    double now;
-    mv_core *core = mv_daemon_enter(d, &now);
-    bool ready = mv_core_ready(core), contact = mv_core_in_contact(core, now);
-    mv_daemon_leave(d);
-    /* Without the state service we can still serve through a peer, and when all are without
-     * it nobody gains from our leaving: only a node that is alone with its trouble goes. */
-    r->status = ready && (contact || mv_daemon_peer_answered(d)) ? 200 : 503;
-    r->text = true;
-    const char *word = r->status == 200 ? "ok\n" : "not ready\n";
-    r->body = g_bytes_new_static(word, strlen(word));
-}
-
-static void metrics(mv_daemon *d, mv_reply *r)
-{
-    double now;
-    mv_core_counts n;
-    mv_core *core = mv_daemon_enter(d, &now);
-    mv_core_counts_get(core, &n);
-    bool leader = mv_core_leads(core);
-    mv_daemon_leave(d);
-    mv_http_load load = mv_daemon_http_load(d);
-    GString *out = mv_metrics_print();
-    struct {
-        const char *name;
-        guint64 v;
-    } rows[] = {{"rounds_total", n.rounds},
-                {"placed_total", n.placed},
-                {"finished_jobs_total", n.finished},
-                {"requeued_total", n.requeued},
-                {"preempted_total", n.preempted},
-                {"failed_tasks_total", n.faults},
-                {"rented_total", n.rented},
-                {"released_total", n.released},
-                {"takeovers_total", n.takeovers},
-                {"moved_machines_total", n.moved},
-                {"limits_halved_total", n.halved},
-                {"stale_messages_total", n.stale},
-                {"machines_looked_at_total", n.looked},
-                {"http_connections", load.connections},
-                {"http_connections_limit", load.limit},
-                {"http_waiting", load.waiting},
-                {"http_closed_total", load.closed},
-                {"http_rests_total", load.rests},
-                {"http_shed_total", load.shed},
-                {"jobs", n.jobs},
-                {"waiting_tasks", n.waiting},
-                {"running_tasks", n.running},
-                {"machines", n.machines},
-                {"machines_up", n.machines_up},
-                {"leader", leader}};
-    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
-        g_string_append_printf(out, "mulleinvalve_%s %" G_GUINT64_FORMAT "\n", rows[i].name,
-                               rows[i].v);
-    r->status = 200;
-    r->text = true;
-    r->body = g_string_free_to_bytes(out);
-}
-
-static void overview(mv_daemon *d, mv_reply *r)
-{
-    double now;
-    mv_core *core = mv_daemon_enter(d, &now);
-    r->body = mv_core_overview(core, now);
-    mv_daemon_leave(d);
-    r->status = 200;
-}
-
 /* --- dispatch --- */
 
 typedef enum { P_NONE, P_SUBMIT, P_POLL, P_ABORT, P_REPORT, P_HEALTH, P_METRICS, P_OVERVIEW } place;
@@ -525,13 +455,13 @@
         mv_metrics_status(MV_LAT_REPORT, r->status);
         break;
     case P_HEALTH:
-        health(d, r);
+        mv_page_health(d, r);
         break;
     case P_METRICS:
-        metrics(d, r);
+        mv_page_metrics(d, r);
         break;
     case P_OVERVIEW:
-        overview(d, r);
+        mv_page_overview(d, r);
         break;
     case P_NONE:
         say_error(r, 404, "no such path", NULL);
--- a/src/service/status.c
+++ b/src/service/status.c
@@ -139,6 +139,27 @@
     printf("\nservices     %s\n", all_new ? "accepted" : "not before all controllers are new");
 }
 
+/* What each controller knows of its links; nothing where the launch gate is off. */
+static void print_links(const msgpack_object *root)
+{
+    char name[MV_NAME_SIZE], links[MV_NAME_SIZE], held[MV_NAME_SIZE];
+    const msgpack_object_array *list = mv_get_list(root, "links");
+    if (!list || list->size == 0)
+        return;
+    printf("\n%-16s %-12s %8s %9s %9s  %s\n", "CONTROLLER", "LINKS", "FOR_S", "VIEW_AGE",
+           "OUTCOMES", "LAUNCHES HELD");
+    for (uint32_t i = 0; i < list->size; i++) {
+        const msgpack_object *link = &list->ptr[i];
+        double age = num_of(link, "view_age_s");
+        char told[32] = "never";
+        if (age >= 0)
+            snprintf(told, sizeof told, "%.1f", age);
+        printf("%-16s %-12s %8.0f %9s %9.0f  %s\n", text_of(link, N_NAME, name, sizeof name),
+               text_of(link, "links", links, sizeof links), num_of(link, "for_s"), told,
+               num_of(link, "outcomes_waiting"), text_of(link, "held", held, sizeof held));
+    }
+}
+
 int mv_status_print(const char *address)
 {
     mv_endpoint at;
@@ -159,6 +180,7 @@
         const msgpack_object_array *nodes = mv_get_list(root, "controllers");
         printf("leader       %s\ncontrollers ", text_of(root, "leader", leader, sizeof leader));
         print_controllers(root, nodes);
+        print_links(root);
         print_teams(root);
         print_machines(root);
         print_jobs(root);
--- a/tests/core_world.c
+++ b/tests/core_world.c
@@ -126,6 +126,11 @@
 void world_start(world *w)
 {
     w->conf = settings();
+    w->conf->n_peers = 2;
+    w->conf->peers = g_new0(mv_sibling, 2);
+    g_strlcpy(w->conf->peers[0].name, "n1", MV_NAME_SIZE);
+    g_strlcpy(w->conf->peers[1].name, "n2", MV_NAME_SIZE);
+    w->conf->tune.launch_gate = w->launch_gate;
     w->core = mv_core_new(w->conf);
     w->now += 1;
     mv_core_tick(w->core, w->now, 1e6 + w->now);
--- a/tests/core_world.h
+++ b/tests/core_world.h
@@ -32,6 +32,7 @@
     const char *watched;
     GQueue *held;      /* commands on their way, where these are looked at one by one */
     GQueue *held_txns; /* and transactions, which then get no answer */
+    bool launch_gate;  /* the operators have it on; n1 and n2 are the other controllers */
     unsigned stops;    /* stop orders carried out */
     double wind_down;  /* time to save that the last of them gave, seconds */
 } world;
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -18,9 +18,37 @@
     SIM_ENDS_IN_OUTAGE,      /* controllers that end while the state service is out */
     SIM_CANCELLED_AT_LIMIT,  /* jobs called off while their team is at its limit */
     SIM_CANCELLED,           /* jobs called off */
+    SIM_CUT_AT_EVENT,        /* a controller is cut off as a transaction of its goes out */
     SIM_MOVED_REPLICAS       /* replicas that ran when their machine got its notice */
 } sim_meeting;
 
+/* Links of a controller, for a schedule of cuts. */
+typedef enum {
+    SIM_LINK_STATE,         /* both directions */
+    SIM_LINK_STATE_ANSWERS, /* requests are carried out, answers are lost */
+    SIM_LINK_WATCHES,       /* only watches get no answer */
+    SIM_LINK_PEERS,         /* both directions */
+    SIM_LINK_PEERS_OUT,     /* what it sends to peers is lost; what they send arrives */
+    SIM_LINK_WORKERS,
+    SIM_LINK_ALL_STATE, /* an outage for everybody */
+    SIM_LINKS
+} sim_link;
+
+typedef struct {
+    unsigned node;
+    sim_link link;
+    double at, for_s;
+} sim_cut;
+
+/* Seconds, summed over the cuts of single controllers that were judged. */
+typedef struct {
+    unsigned cuts, launched; /* cuts after which the controller launched something more */
+    double last_launch_s;    /* from a cut to the last launch, */
+    double longest_s;        /* and the longest of them */
+    unsigned healed;
+    double first_launch_s; /* from healing to the first launch */
+} sim_gate_times;
+
 /* What the settings of a deployment say of times and limits. */
 typedef struct {
     double report_s, lease_s, cancel_s;
@@ -74,6 +102,18 @@
     unsigned *met;        /* how often the meeting that the plan is about took place */
     sim_meeting meeting;  /* which that is */
     double until, settle; /* faults end; all must be done by */
+    bool launch_gate;     /* the operators have the launch gate on, */
+    mv_launch_without_state launch_without_state;
+    unsigned gate_nodes;  /* ... on so many controllers; 0: on all. The others tell no views */
+    double flap;          /* one link of a controller breaks and heals within seconds, 20 times */
+    double answers_lost;  /* a controller's requests reach the state service, no answer comes */
+    double watches_lost;  /* only its watches get no answer */
+    double peers_deaf;    /* a controller hears its peers, and is heard by none */
+    double cut_at_events; /* share of launches, progress records and ends at which one is cut off */
+    const sim_cut *cuts;  /* a schedule of cuts instead of random ones */
+    unsigned n_cuts;
+    unsigned *relaunched;  /* counts starts of tasks whose end a living controller had seen */
+    sim_gate_times *times; /* how long cuts held launches */
     unsigned shards, jobs;
     unsigned small_zone; /* machines to be had in a second zone; some jobs keep to one, or spread */
 } sim_plan;
--- a/tests/sim_internal.h
+++ b/tests/sim_internal.h
@@ -12,6 +12,11 @@
 #ifndef CAPACITY
 #define CAPACITY USUAL_CAPACITY /* unless the build says otherwise */
 #endif
+#define LAUNCH_BOUND_S                                                                             \
+    (MV_SESSION_TTL_S - MV_SESSION_MARGIN_S + MV_SUSPECT_GRACE_S +                                 \
+     0.3)                  /* after a cut; a step and what is on its way                           \
+                            */
+#define FLAPS 20           /* times that a link breaks and heals */
 #define SERVICES_FOR 100   /* seconds after the troubles */
 #define EARLY_S 5          /* work that a machine gets so soon after it came up is early */
 #define MACHINE_CORES 16   /* of the one type there is */
@@ -44,6 +49,11 @@
     bool relists;                /* it has listed all before */
     GHashTable *seen;            /* keys in the pages so far */
     double state_cut_until, worker_cut_until, peer_cut_until, back_at, renew_at, frozen_until;
+    double answers_lost_until, watches_lost_until, peers_out_until;
+    double cut_since;   /* it alone has no answer of the state service since then; 0: it has */
+    double launched_at; /* it last sent a launch, */
+    double healed_at;   /* and its last cut healed; 0: something was launched since */
+    double view_at;     /* its views are told next */
     guint index;
     bool old; /* the version before services */
 } node;
@@ -80,6 +90,7 @@
     uint64_t led_term;   /* of the last leader that began */
     GHashTable *rentals; /* name of a request -> GPtrArray of machine names */
     GArray *jobs;        /* sim_job */
+    GHashTable *finals;  /* keys of final records that were written */
     char *broken;
 };
 
@@ -134,6 +145,8 @@
 bool sim_team_is_full(const sim *s, const sim_job *j);
 void sim_check_services(sim *s, gpointer data);
 void sim_check_jobs(sim *s);
+/* A transaction was carried out: no job may get a second final record. */
+void sim_check_finals(sim *s, const GArray *changes);
 /* sim_outside.c */
 double sim_local(const sim *s, const node *n);
 void sim_call_free(call *c);
@@ -152,12 +165,27 @@
 void sim_worker_reply(sim *s, gpointer data);
 void sim_copy_arrives(sim *s, gpointer data);
 void sim_free_report(gpointer p);
+/* sim_links.c */
+bool sim_state_reached(const sim *s, const node *n);
+bool sim_state_answers(const sim *s, const node *n);
+bool sim_peers_reached(const sim *s, const node *from, const node *to);
+void sim_note_cut(sim *s, node *n);
+void sim_note_launches(sim *s, node *n, const GArray *orders);
+void sim_tell_views(sim *s, node *n);
+void sim_flap(sim *s, gpointer data);
+void sim_lose_answers(sim *s, gpointer data);
+void sim_lose_watches(sim *s, gpointer data);
+void sim_deafen_peers(sim *s, gpointer data);
+void sim_cut_at_event(sim *s, node *n);
+void sim_schedule_cuts(sim *s);
+void sim_flap_free(event_fn fn, gpointer data);
 /* sim_troubles.c */
 void sim_crash(sim *s, gpointer data);
 void sim_crash_all(sim *s, gpointer data);
 void sim_cut_state(sim *s, gpointer data);
 void sim_cut_workers(sim *s, gpointer data);
 void sim_outage(sim *s, gpointer data);
+void sim_begin_outage(sim *s, double for_s);
 void sim_cloud_outage(sim *s, gpointer data);
 void sim_refuse_peers(sim *s, gpointer data);
 void sim_wave(sim *s, gpointer data);
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -2,6 +2,7 @@
 #include "protocol/messages.h"
 #include "protocol/names.h"
 #include "service/peer_codec.h"
+#include "service/view_codec.h"
 #include "protocol/records.h"
 
 #include <math.h>
@@ -405,6 +406,51 @@
     mv_demand_free(d);
 }
 
+/* A view as a peer reads it; one whose names are too long, or of a class that is none, is refused.
+ */
+static void views(void)
+{
+    g_autoptr(mv_view) view = mv_view_new();
+    g_strlcpy(view->node, "n1", sizeof view->node);
+    view->boot = 5;
+    view->sequence = 1ull << 40;
+    view->links = MV_LINKS_CUT_OFF;
+    view->state_age_s = MV_NEVER;
+    view->launches_held = true;
+    mv_peer_link link = {.peer = "n0", .seen_boot = 3, .seen_sequence = 4, .heard_age_s = 0.5};
+    g_array_append_val(view->peers, link);
+    mv_outcome *outcome = g_new0(mv_outcome, 1);
+    g_strlcpy(outcome->job, "j-000001", sizeof outcome->job);
+    outcome->tasks = g_bytes_new_static("\x01\x00\x02", 3);
+    g_ptr_array_add(view->outcomes, outcome);
+    g_autoptr(GBytes) packed = mv_view_pack(view);
+    gsize n;
+    const uint8_t *p = g_bytes_get_data(packed, &n);
+    Mv__Ask *ask = mv__ask__unpack(NULL, n, p);
+    g_assert_true(ask && ask->what_case == MV__ASK__WHAT_VIEW);
+    g_autoptr(mv_view) read = mv_view_unpack(ask->view);
+    g_assert_cmpstr(read->node, ==, "n1");
+    g_assert_true(read->sequence == 1ull << 40 && read->boot == 5 && read->launches_held);
+    g_assert_true(read->links == MV_LINKS_CUT_OFF && read->state_age_s == MV_NEVER);
+    const mv_peer_link *back = &g_array_index(read->peers, mv_peer_link, 0);
+    g_assert_true(back->seen_boot == 3 && back->seen_sequence == 4 && back->heard_age_s == 0.5);
+    const mv_outcome *told = g_ptr_array_index(read->outcomes, 0);
+    g_assert_true(g_bytes_equal(told->tasks, outcome->tasks));
+    ask->view->links = 99;
+    g_assert_null(mv_view_unpack(ask->view));
+    ask->view->links = MV_LINKS_CUT_OFF;
+    g_autofree char *name = ask->view->node;
+    ask->view->node = g_strnfill(MV_NAME_SIZE, 'x');
+    g_assert_null(mv_view_unpack(ask->view));
+    mv__ask__free_unpacked(ask, NULL);
+    /* What the version before views makes of it: a message of no kind that it knows. */
+    g_autoptr(GBytes) answer = mv_view_answer_pack(view);
+    p = g_bytes_get_data(answer, &n);
+    Mv__Answer *unpacked = mv__answer__unpack(NULL, n, p);
+    g_assert_true(unpacked && unpacked->view && unpacked->status == 0);
+    mv__answer__free_unpacked(unpacked, NULL);
+}
+
 /* One block may hold the whole fleet; its holder tells the leader of each machine in one message.
  */
 static void demand_of_largest_fleet(void)
@@ -456,6 +502,7 @@
     g_test_add_func("/codec/reports", reports);
     g_test_add_func("/codec/old-records", old_records);
     g_test_add_func("/codec/demands", demands);
+    g_test_add_func("/codec/views", views);
     g_test_add_func("/codec/demand-of-largest-fleet", demand_of_largest_fleet);
     g_test_add_func("/codec/ids", job_ids);
     return g_test_run();
