--- a/rehearsal/play.c
+++ b/rehearsal/play.c
@@ -1,5 +1,6 @@
 #include "play.h"
 
+#include "ask.h"
 #include "controllers.h"
 #include "outside.h"
 #include "protocol/names.h"
@@ -50,22 +51,6 @@
 
 /* --- users --- */
 
-static int ask(stage *s, unsigned at, const char *method, const char *path, GBytes *body,
-               unsigned timeout_ms, char *status, size_t size)
-{
-    mv_http_answer answer;
-    mv_http_call(method, s->controllers->list[at].address, path, body, timeout_ms, &answer);
-    gsize n;
-    const void *p = g_bytes_get_data(answer.body, &n);
-    g_autoptr(mv_doc) doc = mv_doc_parse(p, n);
-    *status = 0;
-    if (doc)
-        mv_get_text(mv_doc_root(doc), N_STATUS, status, size);
-    int code = answer.status;
-    mv_http_answer_clear(&answer);
-    return code;
-}
-
 static GBytes *submission(const stage *s, const char *id, unsigned tasks)
 {
     mv_job j = {.urgency = MV_STANDARD, .tasks = tasks, .cores = 2, .ram_gb = 1, .spot = true};
@@ -95,10 +80,11 @@
     char id[MV_ID_SIZE], path[MV_ID_SIZE + 40], status[40];
     g_snprintf(id, sizeof id, "j-%06u", number);
     unsigned at = (number + job->tries++) % s->controllers->n;
+    const char *address = s->controllers->list[at].address;
     double now = mv_history_now(s->history);
     if (job->state == USER_SUBMITS) {
         g_autoptr(GBytes) body = submission(s, id, job->tasks);
-        int code = ask(s, at, "POST", N_RUNS, body, ANSWER_MS, status, sizeof status);
+        int code = mv_ask(address, "POST", N_RUNS, body, ANSWER_MS, status, sizeof status);
         if (code == 200 || code == 201) {
             told(s, MV_EVENT_ACCEPTED, id, status);
             job->state = USER_ASKS;
@@ -107,7 +93,8 @@
     }
     bool cancels = job->cancel_at > 0 && now >= job->cancel_at;
     g_snprintf(path, sizeof path, N_RUNS "/%s%s", id, cancels ? "/" N_ABORT : "");
-    int code = ask(s, at, cancels ? "POST" : "GET", path, NULL, POLL_MS, status, sizeof status);
+    int code =
+        mv_ask(address, cancels ? "POST" : "GET", path, NULL, POLL_MS, status, sizeof status);
     if (code == 404)
         told(s, MV_EVENT_UNKNOWN, id, status);
     bool final = strcmp(status, N_DONE) == 0 || strcmp(status, N_WITHDRAWN) == 0;
--- a/src/connectivity/launch_gate.c
+++ b/src/connectivity/launch_gate.c
@@ -1,5 +1,7 @@
 #include "connectivity/launch_gate.h"
 
+#include "guards.h"
+
 /* A break while the gate is open, or while it waits for the links to be steady, makes the next wait
  * twice as long: a cut that heals and breaks again within seconds would else open it each time. */
 static void count_break(mv_launch_gate *gate, double now, bool behind)
@@ -59,7 +61,8 @@
     }
     if (gate->steady_since == 0)
         gate->steady_since = now;
-    if (now < gate->steady_since + gate->hold_s || input->followed < gate->steady_since)
+    bool steady = now >= gate->steady_since + gate->hold_s && input->followed >= gate->steady_since;
+    if (!GUARD(HOLD_DOWN, steady))
         return;
     gate->closed = false;
     gate->steady_since = 0;
--- a/src/coordination/core.c
+++ b/src/coordination/core.c
@@ -103,7 +103,7 @@
     t->id = 0;
     /* The news of it may have come before the answer. */
     bool unseen = outcome == MV_TXN_CONFLICT || (outcome == MV_TXN_OK && t->seen_at < t->at);
-    t->answered_at = unseen ? c->now : 0;
+    t->answered_at = unseen && !t->not_awaited ? c->now : 0;
 }
 
 unsigned mv_core_holders(const mv_core *c)
@@ -163,6 +163,7 @@
     c->value_bytes = (size_t)(conf->value_kb * 1024);
     c->ops = conf->txn_ops;
     c->command_window = MV_COMMANDS_QUEUED;
+    c->progress_txn.not_awaited = c->sweep_txn.not_awaited = true;
     c->formats = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     c->orphans = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     c->left = g_ptr_array_new_with_free_func(g_free);
@@ -478,8 +479,6 @@
                          &c->sweep_txn, &c->format_txn, &c->term_txn};
     for (size_t i = 0; i < G_N_ELEMENTS(slots); i++)
         answered(c, slots[i], id, outcome);
-    /* What progress records show is not waited for: each carries its own stamp. */
-    c->progress_txn.answered_at = c->sweep_txn.answered_at = 0;
     for (guint i = 0; i < c->shards->len; i++) {
         shard *s = g_ptr_array_index(c->shards, i);
         answered(c, &s->used_txn, id, outcome);
--- a/src/coordination/reachability.c
+++ b/src/coordination/reachability.c
@@ -204,9 +204,12 @@
         return;
     mv_view_verdict verdict = mv_connectivity_hear(c->links, c->now, view);
     if (verdict != MV_VIEW_TAKEN) {
+        /* Views from before a restart are ordinary; what cannot be read or comes from strangers is
+         * not. */
+        bool foreign = verdict == MV_VIEW_MALFORMED || verdict == MV_VIEW_STRANGER;
         c->counts.views_refused++;
-        mv_log_limited(MV_LOG_DEBUG, "view_refused", "from=%s why=%s", view->node,
-                       verdicts[verdict]);
+        mv_log_limited(foreign ? MV_LOG_INFO : MV_LOG_DEBUG, "view_refused", "from=%s why=%s",
+                       view->node, verdicts[verdict]);
     } else {
         c->counts.views++;
         mv_links_update(c);
--- a/tests/sim_internal.h
+++ b/tests/sim_internal.h
@@ -51,6 +51,7 @@
     double state_cut_until, worker_cut_until, peer_cut_until, back_at, renew_at, frozen_until;
     double answers_lost_until, watches_lost_until, peers_out_until;
     double cut_since;   /* it alone has no answer of the state service since then; 0: it has */
+    bool was_connected; /* before that */
     double launched_at; /* it last sent a launch, */
     double healed_at;   /* and its last cut healed; 0: something was launched since */
     double view_at;     /* its views are told next */
--- a/tests/sim_links.c
+++ b/tests/sim_links.c
@@ -44,6 +44,7 @@
     sim_gate_times *times = s->plan->times;
     if (alone && n->cut_since == 0) {
         n->cut_since = s->now;
+        n->was_connected = n->incarnation && n->listed; /* one that began in a cut holds nothing */
         n->healed_at = 0;
     } else if (!alone && n->cut_since > 0) {
         bool judged = s->now > n->cut_since + LAUNCH_BOUND_S;
@@ -54,7 +55,7 @@
             times->last_launch_s += MAX(after, 0);
             times->longest_s = MAX(times->longest_s, after);
         }
-        n->healed_at = judged && !cut ? s->now : 0;
+        n->healed_at = judged && !cut && n->was_connected ? s->now : 0;
         n->cut_since = 0;
     }
 }
@@ -87,6 +88,10 @@
         if (n->conf->tune.launch_gate && n->cut_since > 0 && s->now > n->cut_since + LAUNCH_BOUND_S)
             sim_broken(s, "launched %s/%u while cut off for %.2f s", order->job, order->index,
                        s->now - n->cut_since);
+        if (n->conf->tune.launch_gate && n->healed_at > 0 &&
+            s->now < n->healed_at + MV_HOLD_FIRST_S)
+            sim_broken(s, "launched %s/%u %.2f s after a cut healed", order->job, order->index,
+                       s->now - n->healed_at);
         if (n->healed_at > 0 && s->plan->times) {
             s->plan->times->healed++;
             s->plan->times->first_launch_s += s->now - n->healed_at;
--- a/tests/test_partial_cuts.c
+++ b/tests/test_partial_cuts.c
@@ -182,6 +182,14 @@
     sim_expect_broken(MV_GUARD_LAUNCH_GATE, &plan, "while cut off", GUARD_SEED_FROM, GUARD_SEED_TO);
 }
 
+static void guard_hold_down(void)
+{
+    sim_plan plan = BASE;
+    plan.state_cut = 12;
+    sim_expect_broken(MV_GUARD_HOLD_DOWN, &plan, "after a cut healed", GUARD_SEED_FROM,
+                      GUARD_SEED_TO);
+}
+
 static void guard_own_cut(void)
 {
     sim_plan plan = own_cut_plan();
@@ -221,6 +229,7 @@
     g_test_add_func("/partial-cuts/own-cut", own_cut);
     g_test_add_func("/partial-cuts/late-comer", late_comer);
     g_test_add_func("/partial-cuts/guard-just-heard", guard_just_heard);
+    g_test_add_func("/partial-cuts/guard-hold-down", guard_hold_down);
     g_test_add_func("/partial-cuts/guard-own-cut", guard_own_cut);
     g_test_add_func("/partial-cuts/guard-final", guard_final);
     return g_test_run();
--- a/tests/test_processes.c
+++ b/tests/test_processes.c
@@ -1,5 +1,6 @@
 /* Three real processes on loopback, against stand-ins of the state service, the cloud and the
  * workers: submissions, polls, cancellations, a kill, a restart, all three killed. */
+#include "ask.h"
 #include "controllers.h"
 #include "outside.h"
 
@@ -32,17 +33,7 @@
 static int ask(unsigned node, const char *method, const char *path, GBytes *body, char *status,
                size_t size)
 {
-    mv_http_answer a;
-    mv_http_call(method, controllers->list[node].address, path, body, 5000, &a);
-    gsize n;
-    const void *p = g_bytes_get_data(a.body, &n);
-    g_autoptr(mv_doc) doc = mv_doc_parse(p, n);
-    *status = 0;
-    if (doc)
-        mv_get_text(mv_doc_root(doc), N_STATUS, status, size);
-    int code = a.status;
-    mv_http_answer_clear(&a);
-    return code;
+    return mv_ask(controllers->list[node].address, method, path, body, 5000, status, size);
 }
 
 static GBytes *any_body(const char *id, const char *team_name, double cores, bool service)
--- a/tests/test_scale.c
+++ b/tests/test_scale.c
@@ -45,6 +45,18 @@
     sim_expect_sound(&plan, 401, SEEDS);
 }
 
+/* Cuts of single controllers, single directions and of the peers, with the launch gate. */
+static void cuts(void)
+{
+    sim_plan plan = BASE;
+    plan.launch_gate = true;
+    plan.flap = 40;
+    plan.answers_lost = plan.watches_lost = plan.peers_deaf = 30;
+    plan.isolate = 45;
+    plan.outage = 80;
+    sim_expect_sound(&plan, 501, SEEDS);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -53,5 +65,6 @@
     g_test_add_func("/scale/owners-end", owners_end);
     g_test_add_func("/scale/outage", outage);
     g_test_add_func("/scale/wave", wave);
+    g_test_add_func("/scale/cuts", cuts);
     return g_test_run();
 }
