--- a/tests/test_launch_gate.c
+++ b/tests/test_launch_gate.c
@@ -160,6 +160,13 @@
     mv_broken_guard = MV_GUARD_NONE;
 }
 
+static bool any_job(void *context, const char *job)
+{
+    (void)context;
+    (void)job;
+    return true;
+}
+
 /* Ends of unknown jobs, of tasks that do not exist and in broken sets change nothing. */
 static void bad_ends(void)
 {
@@ -167,24 +174,57 @@
     world_pass(w, 6);
     world_add_job(w, 1, 2);
     mv_outcomes *ends = mv_outcomes_new(1000);
-    mv_outcomes_add(ends, JOB, TASKS);
+    mv_outcomes_add(ends, JOB, 0);
+    mv_outcomes_add(ends, JOB, TASKS); /* there is none of that number */
     mv_outcomes_add(ends, "j-999999", 0);
     g_autoptr(mv_view) view = peer_view(w, "n1", 1);
-    view->outcomes->len = 0;
+    mv_outcomes_pack(ends, any_job, NULL, 1000, view->outcomes);
+    mv_outcomes_free(ends);
+    g_assert_cmpuint(view->outcomes->len, ==, 2);
     mv_outcome *junk = g_new0(mv_outcome, 1);
     g_strlcpy(junk->job, JOB, sizeof junk->job);
     junk->tasks = g_bytes_new_static("junk", 4);
     g_ptr_array_add(view->outcomes, junk);
-    for (unsigned i = 0; i < 2; i++) {
-        static const char *const jobs[] = {JOB, "j-999999"};
-        g_autoptr(GArray) tasks = mv_outcomes_of(ends, jobs[i]);
-        g_assert_cmpuint(tasks->len, ==, 1);
-    }
     mv_core_view(w->core, w->now, view);
     mv_job_view job;
+    mv_core_counts n;
     mv_core_job(w->core, JOB, &job);
+    mv_core_counts_get(w->core, &n);
     g_assert_cmpuint(job.done, ==, 0);
-    mv_outcomes_free(ends);
+    g_assert_cmpuint(n.stale, ==, 2);
+    free_world(w);
+}
+
+/* --- what people are shown --- */
+
+static void assert_link(const msgpack_object *link, const char *name, const char *links,
+                        const char *held)
+{
+    g_assert_true(mv_text_is(mv_get(link, N_NAME), name));
+    g_assert_true(mv_text_is(mv_get(link, "links"), links));
+    g_assert_true(mv_text_is(mv_get(link, "held"), held));
+}
+
+/* The picture has this controller's class and why launches are held, and what peers say of theirs.
+ */
+static void picture(void)
+{
+    world *w = new_world(4);
+    world_pass(w, 6);
+    pass_cut_off(w, 6);
+    g_autoptr(mv_view) view = peer_view(w, "n1", 1);
+    view->links = MV_LINKS_OUTAGE;
+    view->launches_held = true;
+    mv_core_view(w->core, w->now, view);
+    g_autoptr(GBytes) packed = mv_core_overview(w->core, w->now);
+    gsize n;
+    const void *p = g_bytes_get_data(packed, &n);
+    g_autoptr(mv_doc) doc = mv_doc_parse(p, n);
+    const msgpack_object_array *links = mv_get_list(mv_doc_root(doc), "links");
+    g_assert_cmpuint(links->size, ==, 3);
+    assert_link(&links->ptr[0], "n0", "cut_off", "cut_off");
+    assert_link(&links->ptr[1], "n1", "outage", "see its own picture");
+    assert_link(&links->ptr[2], "n2", "no view", "");
     free_world(w);
 }
 
@@ -242,6 +282,7 @@
     g_test_add_func("/launch-gate/queued-launches", queued_launches);
     g_test_add_func("/launch-gate/told-ends", told_ends);
     g_test_add_func("/launch-gate/bad-ends", bad_ends);
+    g_test_add_func("/launch-gate/picture", picture);
     g_test_add_func("/launch-gate/relieves-holder", relieves_holder);
     return g_test_run();
 }
