--- a/rehearsal/main.c
+++ b/rehearsal/main.c
@@ -55,7 +55,8 @@
 int main(int argc, char **argv)
 {
     gint seed = 1;
-    char *program = NULL, *directory = NULL;
+    g_autofree char *program = NULL;
+    g_autofree char *directory = NULL;
     gboolean quiet = FALSE;
     GOptionEntry entries[] = {
         {"seed", 's', 0, G_OPTION_ARG_INT, &seed, "the script is drawn from it (1)", "N"},
@@ -93,7 +94,5 @@
     int code =
         runs ? run(scenario, (uint32_t)seed, &options) : print_script(scenario, (uint32_t)seed);
     mv_scenario_free(scenario);
-    g_free(program);
-    g_free(directory);
     return code;
 }
