Peers: one way to ask a peer; dead state goes; no look at orders while all may be launched

Cause: on reading the change once more, a peer's answer was unpacked in three places; updated_at, answers_us, a constant and a result were never read; every command looked its jobs up though the launch gate was open or off.

--- a/rehearsal/outside.c
+++ b/rehearsal/outside.c
@@ -10,7 +10,6 @@
 #include <sys/socket.h>
 
 #define REPORT_TIMEOUT_MS 4000 /* PROTOCOL: a report without an answer */
-#define NEXT_NODE_MS 1000      /* PROTOCOL: before the next controller is tried */
 #define PAGE_ITEMS 5           /* of a list: small, so that paging is used */
 #define MOST_CONTROLLERS 16
 
@@ -30,7 +29,7 @@
     struct MHD_Daemon *server;
     mv_relay *commands;
     pthread_t thread;
-    GHashTable *seen; /* "job/task/attempt" -> whether it has ended: what the history knows */
+    GHashTable *seen; /* "job/task/attempt" -> st_task, as the history knows it */
 } live_machine;
 
 struct mv_outside {
@@ -220,9 +219,9 @@
         mv_change ch = {0};
         const msgpack_object *t = &thens->ptr[i], *data = mv_get(t, N_DATA);
         if (mv_get_text(t, N_SET, ch.key, sizeof ch.key) == MV_GOT && data) {
-            mv_out *o = mv_out_new();
-            msgpack_pack_object(&o->pk, *data);
-            ch.data = mv_out_take(o);
+            mv_out *packed = mv_out_new();
+            msgpack_pack_object(&packed->pk, *data);
+            ch.data = mv_out_take(packed);
             ch.held = mv_get_u64(t, N_HOLD, &hold) == MV_GOT;
         } else {
             g_assert_cmpint(mv_get_text(t, N_REMOVE, ch.key, sizeof ch.key), ==, MV_GOT);
--- a/rehearsal/play.c
+++ b/rehearsal/play.c
@@ -6,7 +6,6 @@
 #include "protocol/names.h"
 #include "transport/http_client.h"
 
-#include <glib/gstdio.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <string.h>
@@ -19,7 +18,7 @@
 #define LEASE_S 6.0
 #define CANCEL_S 30.0
 #define STATE_RPS 500.0
-#define LEARN_MS 200 /* between two reports of a machine */
+#define MACHINE_REPORT_MS 200 /* between two reports of a machine */
 
 typedef enum { USER_WAITS, USER_SUBMITS, USER_ASKS, USER_OVER } user_state;
 
@@ -308,7 +307,7 @@
     mv_outside_options around = {.machines = scenario->machines,
                                  .run_s = scenario->run_ms / 1000.0,
                                  .lease_s = LEASE_S,
-                                 .report_ms = LEARN_MS,
+                                 .report_ms = MACHINE_REPORT_MS,
                                  .history = s.history};
     mv_controllers_options processes = {.program = options->program,
                                         .directory = options->directory,
--- a/rehearsal/relay.c
+++ b/rehearsal/relay.c
@@ -111,7 +111,7 @@
     return NULL;
 }
 
-static bool start_pump(carried *c, int from)
+static void start_pump(carried *c, int from)
 {
     pthread_t thread;
     pthread_attr_t attr;
@@ -126,7 +126,6 @@
     int failed = pthread_create(&thread, &attr, pump_thread, p);
     pthread_attr_destroy(&attr);
     g_assert(failed == 0);
-    return true;
 }
 
 static void reset(int fd)
--- a/src/connectivity/connectivity.c
+++ b/src/connectivity/connectivity.c
@@ -25,7 +25,7 @@
     unsigned failures;
     bool workers_expected;
     double workers_heard;
-    double updated_at, lost_at; /* lost_at: the state service fell silent; 0: it answers */
+    double lost_at; /* the state service fell silent; 0: it answers */
     mv_link_class links;
     double class_since;
     mv_launch_gate gate;
@@ -303,7 +303,6 @@
 {
     mv_link_class was = links->links;
     mv_launch_scope scope = links->gate.scope;
-    links->updated_at = now;
     links->links = judge(links, now);
     if (links->links != was)
         links->class_since = now;
@@ -404,7 +403,6 @@
 {
     const peer_state *peer = &links->peers[index];
     mv_peer_state out = {.name = peer->name, .view_age_s = MV_NEVER};
-    out.answers_us = peer->answered_at > 0 && now < peer->answered_at + MV_PEER_SILENT_S;
     if (!peer->view)
         return out;
     const mv_peer_link *link = link_to_us(links, peer->view);
--- a/src/connectivity/connectivity.h
+++ b/src/connectivity/connectivity.h
@@ -72,7 +72,7 @@
     bool known;          /* a view of it was taken */
     mv_link_class links; /* what that says of its own links */
     double view_age_s, class_for_s;
-    bool launches_held, hears_us, answers_us;
+    bool launches_held, hears_us;
     unsigned waiting;
 } mv_peer_state;
 unsigned mv_connectivity_peers(const mv_connectivity *links);
--- a/src/coordination/commands.c
+++ b/src/coordination/commands.c
@@ -240,10 +240,12 @@
  * and its end could not be recorded. */
 static bool launches_stand(mv_core *c, const mv_action *a)
 {
+    if (mv_may_launch_all(c))
+        return true;
     for (guint i = 0; i < a->orders->len; i++) {
         const mv_order *o = &g_array_index(a->orders, mv_order, i);
         const job *j = o->verb == MV_LAUNCH ? g_hash_table_lookup(c->jobs, o->job) : NULL;
-        if (o->verb == MV_LAUNCH && j && !mv_may_launch(c, j))
+        if (j && !mv_may_launch(c, j))
             return false;
     }
     return true;
--- a/src/coordination/internal.h
+++ b/src/coordination/internal.h
@@ -371,7 +371,8 @@
 /* Whether tasks of the job may be started now. Asked when a task is placed, when a launch is put
  * into a command or an answer, and once more before a command goes out. */
 bool mv_may_launch(mv_core *c, const job *j);
-bool mv_may_launch_any(mv_core *c);
+bool mv_may_launch_any(const mv_core *c);
+bool mv_may_launch_all(const mv_core *c);
 /* The holder of a shard says that it alone is cut off from the state service. */
 bool mv_holder_gave_up(const mv_core *c, const shard *s);
 void mv_outcome_seen(mv_core *c, const job *j, uint32_t task);
--- a/src/coordination/reachability.c
+++ b/src/coordination/reachability.c
@@ -118,7 +118,12 @@
     return GUARD(LAUNCH_GATE, may);
 }
 
-bool mv_may_launch_any(mv_core *c)
+bool mv_may_launch_all(const mv_core *c)
+{
+    return !c->links || mv_connectivity_gate(c->links)->scope == MV_LAUNCH_ALL;
+}
+
+bool mv_may_launch_any(const mv_core *c)
 {
     bool may = !c->links || mv_connectivity_gate(c->links)->scope != MV_LAUNCH_NOTHING;
     return GUARD(LAUNCH_GATE, may);
--- a/src/service/peers.c
+++ b/src/service/peers.c
@@ -17,6 +17,15 @@
     return NULL;
 }
 
+/* The answer of a peer, or NULL within the time given. The caller frees. */
+static Mv__Answer *ask_peer(mv_peer *peer, const uint8_t *frame, size_t size, unsigned timeout_ms)
+{
+    g_autoptr(GBytes) got = mv_peer_ask(peer, frame, size, timeout_ms);
+    gsize length = 0;
+    const uint8_t *told = got ? g_bytes_get_data(got, &length) : NULL;
+    return got ? mv__answer__unpack(NULL, length, told) : NULL;
+}
+
 /* A view that cannot be read counts as malformed: it names nobody. */
 static void take_view(mv_core *core, double now, const Mv__View *message)
 {
@@ -94,10 +103,7 @@
         g_autoptr(GBytes) frame = mv_demand_pack(a->demand);
         gsize n;
         const uint8_t *bytes = g_bytes_get_data(frame, &n);
-        g_autoptr(GBytes) got = p ? mv_peer_ask(p, bytes, n, MV_PEER_TIMEOUT_MS) : NULL;
-        gsize len = 0;
-        const uint8_t *told = got ? g_bytes_get_data(got, &len) : NULL;
-        Mv__Answer *answer = told ? mv__answer__unpack(NULL, len, told) : NULL;
+        Mv__Answer *answer = p ? ask_peer(p, bytes, n, MV_PEER_TIMEOUT_MS) : NULL;
         if (answer) {
             double now;
             mv_others others = {.need = answer->others_need,
@@ -129,12 +135,7 @@
     g_autofree uint8_t *frame = g_malloc(n);
     mv__ask__pack(&ask, frame);
     for (size_t i = 0; i < d->conf->n_peers; i++) {
-        g_autoptr(GBytes) got = mv_peer_ask(d->peers[i], frame, n, MV_PASS_ON_MS);
-        if (!got)
-            continue;
-        gsize len;
-        const uint8_t *p = g_bytes_get_data(got, &len);
-        Mv__Answer *answer = mv__answer__unpack(NULL, len, p);
+        Mv__Answer *answer = ask_peer(d->peers[i], frame, n, MV_PASS_ON_MS);
         bool ok = answer && answer->status && answer->status != 503;
         if (ok) {
             reply->status = (int)answer->status;
@@ -200,10 +201,7 @@
     g_autoptr(GBytes) frame = mv_view_pack(own);
     gsize size;
     const uint8_t *bytes = g_bytes_get_data(frame, &size);
-    g_autoptr(GBytes) got = mv_peer_ask(d->views[peer], bytes, size, MV_VIEW_TIMEOUT_MS);
-    gsize length = 0;
-    const uint8_t *told = got ? g_bytes_get_data(got, &length) : NULL;
-    Mv__Answer *answer = got ? mv__answer__unpack(NULL, length, told) : NULL;
+    Mv__Answer *answer = ask_peer(d->views[peer], bytes, size, MV_VIEW_TIMEOUT_MS);
     core = mv_daemon_enter(d, &now);
     mv_core_peer_asked(core, now, d->conf->peers[peer].name, sent, answer != NULL);
     if (answer && answer->view)
