--- a/review/stand_ins/case2.c
+++ b/review/stand_ins/case2.c
@@ -1,6 +1,7 @@
 /*
  * Case 2: a job is cancelled at the moment at which the state service refuses the leader alone, and
  * a second later the state service is out. Tasks of the cancelled job go on being started.
+ * With DISRUPTION=cut the leader is only cut off from the state service, which stays up.
  */
 #include "stand_ins.h"
 
@@ -74,7 +75,10 @@
     const unsigned other = (unsigned)(leader + 1) % NODES;
 
     const double trouble_at = since_start_s();
-    if (trouble())
+    const bool cut_alone = g_strcmp0(g_getenv("DISRUPTION"), "cut") == 0;
+    if (trouble() && cut_alone)
+        state_cut((unsigned)leader, true);
+    else if (trouble())
         state_refuse((unsigned)leader, true);
     while (since_start_s() < trouble_at + 0.9 && strcmp(status, "withdrawn") != 0)
         user_abort(other, JOB, status);
@@ -84,7 +88,7 @@
     record("user: knows that " JOB " is cancelled; %u of %u tasks were started before",
            starts_before, TASKS);
     sleep_until(trouble_at + 1);
-    if (trouble()) {
+    if (trouble() && !cut_alone) {
         state_outage(true);
         state_refuse((unsigned)leader, false);
     }
