--- a/review/stand_ins/case1.c
+++ b/review/stand_ins/case1.c
@@ -9,6 +9,10 @@
 #define FIRST_WORK_S 52.0 /* the first work ends after the least charged minute of a machine */
 #define IDLE_S 10.1       /* an idle large is returned 13 s after its last task */
 #define CUT_S 3.0
+#define HELD_S 2.0 /* an answer held back by the cut arrives this long after its end */
+#define LONG_CUT_S                                                                                 \
+    15.0 /* with DISRUPTION=long; nothing held back is awaited any more at its end                 \
+          */
 
 static const char TEAMS[] =
     "\n[[settings.teams]]\nname = \"red\"\ncpus = 80.0\ncpus_max = 192.0\n"
@@ -100,14 +104,22 @@
     while (state_last_follow((unsigned)cut_off) < submitted_at && now_s() < submitted_at + 1)
         g_usleep(1000);
     const double cut_at = since_start_s();
+    const bool long_cut = g_strcmp0(g_getenv("DISRUPTION"), "long") == 0;
+    const double cut_s = long_cut ? LONG_CUT_S : CUT_S;
     if (trouble())
-        state_cut((unsigned)cut_off, true);
+        state_cut((unsigned)cut_off, true, 0);
     job second = {"j-000002", "sweep", "red", "standard", "large", "img-1", 3,
                   32,         40,      0.4,   25,         25,      true};
     sleep_until(cut_at + 0.5);
     if (!user_submit(other, &second, 20))
         run_end(2, "the second job was not accepted");
-    sleep_until(cut_at + CUT_S);
+    sleep_until(cut_at + cut_s);
+    /* A long cut ends just after the leader's next attempt to watch, which the cut still swallows.
+     */
+    const double long_until = now_s() + 2;
+    while (long_cut && trouble() && now_s() < long_until &&
+           now_s() - state_last_follow((unsigned)cut_off) > 0.05)
+        g_usleep(1000);
     const unsigned started = job_tasks_on_machines(second.id);
     if (started < 3)
         run_end(2, "%u of 3 tasks of the second job had started at the end of the cut", started);
@@ -115,9 +127,9 @@
         if (cloud_last_lister(NULL) == cut_off)
             run_end(2, "no other controller has taken over");
         replaced = true;
-        state_cut((unsigned)cut_off, false);
+        state_cut((unsigned)cut_off, false, long_cut ? 0 : HELD_S);
     }
-    sleep_until(cut_at + CUT_S + 10);
+    sleep_until(cut_at + cut_s + 10);
     char status[40];
     user_poll(other, second.id, status);
     if (other_returns)
--- a/review/stand_ins/case2.c
+++ b/review/stand_ins/case2.c
@@ -77,7 +77,7 @@
     const double trouble_at = since_start_s();
     const bool cut_alone = g_strcmp0(g_getenv("DISRUPTION"), "cut") == 0;
     if (trouble() && cut_alone)
-        state_cut((unsigned)leader, true);
+        state_cut((unsigned)leader, true, 0);
     else if (trouble())
         state_refuse((unsigned)leader, true);
     while (since_start_s() < trouble_at + 0.9 && strcmp(status, "withdrawn") != 0)
--- a/review/stand_ins/stand_ins.c
+++ b/review/stand_ins/stand_ins.c
@@ -20,6 +20,8 @@
 #include <unistd.h>
 
 #define TICK_US 10000
+/* A controller gives up an attempt to connect after this time. */
+#define CONNECT_TIMEOUT_S 1.0
 #define RUN_LIMIT_S 118
 
 static deployment site;
@@ -431,11 +433,11 @@
     record("state service: %s", out ? "outage begins" : "outage is over");
 }
 
-void state_cut(unsigned index, bool cut)
+void state_cut(unsigned index, bool cut, double held_s)
 {
     pthread_mutex_lock(&state_lock);
     state_is_cut[index] = cut;
-    state_held_until[index] = cut ? now_s() + 1e6 : now_s() + STATE_HELD_S;
+    state_held_until[index] = cut ? now_s() + 1e6 : now_s() + held_s;
     pthread_mutex_unlock(&state_lock);
     record("network: %s and the state service are %s", nodes[index].name,
            cut ? "cut off from each other" : "connected again");
@@ -686,8 +688,15 @@
 static int state_route(unsigned index, const http_request *request, mv_writer *response)
 {
     const char *path = request->path;
-    if (state_is_cut[index]) { /* the sender gives up before the cut ends: never executed */
-        wait_while_held(index);
+    if (state_is_cut[index]) { /* an attempt to connect during the cut: never executed */
+        const double given_up = now_s() + CONNECT_TIMEOUT_S;
+        if (strcmp(path, "/follow") == 0)
+            state_followed_at[index] = now_s();
+        while (now_s() < given_up && !stopping) {
+            pthread_mutex_unlock(&state_lock);
+            g_usleep(2000);
+            pthread_mutex_lock(&state_lock);
+        }
         return NO_ANSWER;
     }
     if (is_refused(index))
@@ -1056,6 +1065,17 @@
     pthread_create(&worker->thread, NULL, worker_reports, worker);
 }
 
+void machine_die(const char *id)
+{
+    pthread_mutex_lock(&fleet_lock);
+    machine *dead = find_machine(id);
+    dead->gone = true;
+    dead->gone_at = now_s() + DEAD_LISTED_S;
+    record("machine %s stops with all that is on it (%u tasks)", id, dead->tasks->len);
+    g_ptr_array_set_size(dead->tasks, 0);
+    pthread_mutex_unlock(&fleet_lock);
+}
+
 static unsigned running_on(const machine *worker)
 {
     unsigned count = 0;
--- a/review/stand_ins/stand_ins.h
+++ b/review/stand_ins/stand_ins.h
@@ -45,12 +45,13 @@
 
 /* --- state service --- */
 void state_refuse(unsigned node, bool refused); /* 503 to this node alone */
-/* Cuts a node off from the state service: its requests get no answer. When the cut ends, new
- * requests are served at once. What was under way before is held back for STATE_HELD_S longer. */
-#define STATE_HELD_S 2.0
-void state_cut(unsigned node, bool cut);
-double state_last_follow(unsigned node); /* when the node's latest watch arrived */
-void state_outage(bool out);             /* 503 to all; leases get their full time after */
+/* Cuts a node off from the state service. Attempts to connect during the cut fail after the time
+ * that a controller waits for a connection. When the cut ends, new requests are served at once; an
+ * answer that was under way when the cut began arrives `held_s` after its end. */
+void state_cut(unsigned node, bool cut, double held_s);
+/* When the node's latest watch arrived or, during a cut, was attempted. */
+double state_last_follow(unsigned node);
+void state_outage(bool out); /* 503 to all; leases get their full time after */
 
 /* --- cloud --- */
 typedef struct {
@@ -66,6 +67,9 @@
 /* --- workers --- */
 /* Adds a machine that is up; its worker reports at once. */
 void machine_add(const char *id, const char *type, bool spot);
+/* The machine stops with all that is on it. It stays in the cloud's list for DEAD_LISTED_S. */
+#define DEAD_LISTED_S 30.0
+void machine_die(const char *id);
 unsigned machine_running(const char *id); /* tasks on the machine that have not ended */
 /* Returns the node that answered the latest report of the machine with 200, -1: none. */
 int machine_reports_to(const char *id);
