--- a/review/stand_ins/stand_ins.c
+++ b/review/stand_ins/stand_ins.c
@@ -28,7 +28,7 @@
 static double started_at;
 static FILE *record_file;
 static pthread_mutex_t record_lock = PTHREAD_MUTEX_INITIALIZER;
-static char *directory; /* temporary: settings and logs */
+static const char *directory; /* temporary: settings and logs; run.sh removes it */
 static volatile bool stopping;
 
 /* --- clock and record --- */
@@ -1373,8 +1373,6 @@
         if (nodes[i].config)
             g_unlink(nodes[i].config);
     }
-    if (directory)
-        g_rmdir(directory);
 }
 
 void run_end(int status, const char *format, ...)
@@ -1408,15 +1406,12 @@
 
 void run_begin(int argc, char **argv, const deployment *given)
 {
-    const char *folder = argc > 1 ? argv[1] : ".";
     pthread_t thread;
     site = *given;
     started_at = now_s();
-    g_autofree char *path = g_build_filename(folder, "record.txt", NULL);
-    record_file = fopen(path, "w");
-    directory = g_dir_make_tmp("review-XXXXXX", NULL);
-    if (!record_file || !directory)
-        run_end(2, "cannot write record.txt or the temporary folder");
+    if (argc != 3 || !(record_file = fopen(argv[1], "w")))
+        run_end(2, "usage: %s RECORD FOLDER; the record has to be writable", argv[0]);
+    directory = argv[2];
     signal(SIGPIPE, SIG_IGN);
     signal(SIGTERM, on_signal);
     signal(SIGINT, on_signal);
--- a/review/stand_ins/stand_ins.h
+++ b/review/stand_ins/stand_ins.h
@@ -29,7 +29,8 @@
 void record(const char *format, ...) G_GNUC_PRINTF(1, 2);
 
 /* --- run --- */
-/* Creates the stand-ins and the settings files. argv[1]: directory of record.txt. */
+/* Creates the stand-ins and the settings files. argv[1]: path of record.txt; argv[2]: a temporary
+ * folder for settings and logs. */
 void run_begin(int argc, char **argv, const deployment *site);
 /* Ends all processes and exits: 0 rule held, 1 rule broken, 2 could not run. */
 void run_end(int status, const char *format, ...) G_GNUC_PRINTF(2, 3) G_GNUC_NORETURN;
