--- a/review/stand_ins/stand_ins.c
+++ b/review/stand_ins/stand_ins.c
@@ -1399,8 +1399,10 @@
     (void)signal_number;
     (void)!write(STDOUT_FILENO, TEXT, sizeof TEXT - 1);
     for (unsigned i = 0; i < NODES; i++)
-        if (nodes[i].pid > 0 && !nodes[i].ended)
+        if (nodes[i].pid > 0 && !nodes[i].ended) {
             kill(nodes[i].pid, SIGKILL);
+            waitpid(nodes[i].pid, NULL, 0);
+        }
     _exit(2);
 }
 
