Leases of agents: every answer of 200 carries the stops of cancelled tasks

Cause: an answer of 200 renews the agent's lease for all its tasks, but only a heartbeat under the owner's own token was compared with the jobs. The first heartbeat to a new owner is under the old token and got 200 without a stop, and so did a heartbeat that a newer message of the machine had overtaken. Each owner renewed the lease once and ended before the next heartbeat. A right was renewed in one path without the condition that another path checks. Change: src/coordination/agents/lease_renewal.c completes every answer of 200 with the stop of each listed task whose job has no live record or is being cancelled, also of one that is saving, and checks the answer before it is sent: one that lacks a stop becomes 503, which renews nothing, with the log event invariant_violated and the metric invariant_violations_total. The check CANCELLED covers these stops and those of direct commands; heartbeat_answered has stops and both tokens. Why it works: every renewal of a lease by a controller that knows the job's end now ends the task, so the bound of SAFETY ("Gone within cancel_s") needs no owner that lives until the next heartbeat. A stop names one attempt, and a job without a live record never runs again, so the order of the heartbeat does not matter for it.

--- a/src/coordination/agents/command_queue.c
+++ b/src/coordination/agents/command_queue.c
@@ -1,6 +1,7 @@
 #include "coordination/agents/command_queue.h"
 
 #include "coordination/agents/command_list.h"
+#include "coordination/agents/lease_renewal.h"
 #include "coordination/agents/machine.h"
 
 /* Values of mv_machine.uncertain_attempts: whether the command that carries the launch is still in
@@ -65,7 +66,7 @@
 
 static bool stop_is_due(const mv_placement *placement)
 {
-    bool should_stop = !placement->job || placement->stopping;
+    bool should_stop = placement->stopping || mv_job_tasks_must_end(placement->job);
     return placement->reported && should_stop && placement->stop_sent_at == 0;
 }
 
--- a/src/coordination/agents/heartbeat.c
+++ b/src/coordination/agents/heartbeat.c
@@ -237,12 +237,8 @@
         return;
     }
     mark_reported(machine, placement);
-    /* The placement outlived its job, for example because the job was cancelled. */
-    if (!job) {
-        if (!SAFETY_CHECK(CANCELLED, false))
-            mv_command_append(commands, MV_COMMAND_STOP, task, 0);
-        return;
-    }
+    if (!job)
+        return; /* the placement outlived its job; the answer stops the task (lease_renewal.h) */
     if (task->phase != MV_TASK_FETCHING_IMAGE && placement->running_at == 0) {
         placement->running_at = context->clock.now;
         job->tasks_running++;
--- a/src/coordination/agents/placement.c
+++ b/src/coordination/agents/placement.c
@@ -86,6 +86,8 @@
 
 void mv_placement_cancel(mv_agents *agents, mv_machine *machine, mv_placement *placement)
 {
+    if (SAFETY_CHECK(CANCELLED, false))
+        return;
     placement->skip_checkpoint = true;
     machine->probe_requested = machine->probe_requested || !placement->reported;
     mv_placement_stop(agents, machine, placement);
--- a/src/coordination/controller/heartbeats.c
+++ b/src/coordination/controller/heartbeats.c
@@ -7,6 +7,7 @@
 #include "coordination/agents/command_list.h"
 #include "coordination/agents/command_queue.h"
 #include "coordination/agents/heartbeat.h"
+#include "coordination/agents/lease_renewal.h"
 #include "coordination/agents/machine.h"
 #include "coordination/autoscaling/adoption.h"
 #include "protocol/http_status.h"
@@ -78,6 +79,22 @@
         ((mv_placement *)g_ptr_array_index(machine->placements, i))->launch_in_response = false;
 }
 
+/* Completes the commands of an answer of 200, or answers 503 if the answer must not renew the
+ * agent's lease. Returns whether the answer is 200. */
+static bool complete_answer(mv_controller *controller, const mv_machine *machine,
+                            const mv_heartbeat *heartbeat, mv_heartbeat_response *response)
+{
+    mv_lease_renewal_append_stops(&controller->agents, heartbeat, response->commands);
+    /* Commands that do not fit the response are dropped; the agent's next heartbeat makes this
+     * controller collect them again. */
+    if (response->commands->len > MV_RESPONSE_COMMANDS_MAX)
+        g_array_set_size(response->commands, MV_RESPONSE_COMMANDS_MAX);
+    if (mv_lease_renewal_is_safe(&controller->agents, machine, heartbeat, response->commands))
+        return true;
+    response->status = MV_HTTP_STATUS_UNAVAILABLE;
+    return false;
+}
+
 static void answer_machine(mv_controller *controller, mv_machine *machine,
                            const mv_heartbeat *heartbeat, mv_heartbeat_response *response)
 {
@@ -88,18 +105,16 @@
     response->commands = mv_command_list_new();
     mv_heartbeat_order order = mv_heartbeat_compare(machine, heartbeat);
     if (order == MV_HEARTBEAT_STALE) {
-        /* The heartbeat is a late copy of an earlier one; the agent drops the response to the copy.
-         */
+        /* The heartbeat is a late copy of an earlier one, and the agent drops the response to the
+         * copy; or the answer to a command overtook it, and the response renews the lease. */
         mv_context_count_stale(context, "report", machine->id);
+        complete_answer(controller, machine, heartbeat, response);
         return;
     }
-    machine->lease_renewed_at = context->clock.now;
     forget_launches_in_responses(machine);
     mv_heartbeat_apply(&controller->agents, machine, heartbeat, order, response->commands);
-    /* Commands that do not fit the response are dropped; the agent's next heartbeat makes this
-     * controller collect them again. */
-    if (response->commands->len > MV_RESPONSE_COMMANDS_MAX)
-        g_array_set_size(response->commands, MV_RESPONSE_COMMANDS_MAX);
+    if (complete_answer(controller, machine, heartbeat, response))
+        machine->lease_renewed_at = context->clock.now;
     mv_controller_run_due_work(controller);
 }
 
--- a/src/safety_checks.h
+++ b/src/safety_checks.h
@@ -29,7 +29,8 @@
     MV_CHECK_ZONE,
     /** Only tasks of jobs that allow spot machines are placed on spot machines. */
     MV_CHECK_SPOT,
-    /** The tasks of a cancelled job are stopped. */
+    /** The tasks of a cancelled job are stopped, by direct commands and in every answer that renews
+     * an agent's lease. */
     MV_CHECK_CANCELLED,
     /** No launch of a job is sent once the controller knows that the job was cancelled. */
     MV_CHECK_CANCELLED_LAUNCH,
--- a/src/server/heartbeat_endpoint.c
+++ b/src/server/heartbeat_endpoint.c
@@ -32,6 +32,14 @@
     }
 }
 
+static unsigned count_stops(const GArray *commands)
+{
+    unsigned stops = 0;
+    for (guint i = 0; commands && i < commands->len; i++)
+        stops += g_array_index(commands, mv_command, i).kind == MV_COMMAND_STOP;
+    return stops;
+}
+
 static void handle(mv_shared_controller *shared, const mv_heartbeat *heartbeat,
                    mv_http_response *response)
 {
@@ -41,9 +49,11 @@
     mv_controller_heartbeat(controller, now, heartbeat, &decision);
     mv_shared_controller_unlock(shared);
     mv_debug("heartbeat_answered",
-             "machine=%s sequence=%" G_GUINT64_FORMAT " tasks=%zu status=%d commands=%u",
+             "machine=%s sequence=%" G_GUINT64_FORMAT " tasks=%zu status=%d commands=%u stops=%u"
+             " token=%" G_GUINT64_FORMAT " reported_token=%" G_GUINT64_FORMAT,
              heartbeat->machine, heartbeat->sequence, heartbeat->task_count, decision.status,
-             decision.commands ? decision.commands->len : 0);
+             decision.commands ? decision.commands->len : 0, count_stops(decision.commands),
+             decision.fencing_token, heartbeat->fencing_token);
     respond(&decision, response);
     g_clear_pointer(&decision.commands, g_array_unref);
 }
--- a/src/server/job_cancellation.c
+++ b/src/server/job_cancellation.c
@@ -95,8 +95,13 @@
     mv_shard_grant grant = {0};
     const mv_cancellation_answer answer =
         await_acknowledgement(services, id, lookup->home_shard, &grant);
-    if (answer == MV_CANCELLATION_ACKNOWLEDGED)
-        return commit(services, id, lookup, &grant);
+    if (answer == MV_CANCELLATION_ACKNOWLEDGED) {
+        const mv_cancel_result result = commit(services, id, lookup, &grant);
+        mv_debug("cancellation_acknowledged",
+                 "job=%s shard=%u owner=%s term=%" G_GUINT64_FORMAT " committed=%d", id,
+                 grant.shard, grant.node, grant.term, result == MV_CANCEL_COMMITTED);
+        return result;
+    }
     /* An owner of a version that knows no acknowledgements learns of the cancellation from the
      * state service alone. */
     if (answer == MV_CANCELLATION_UNSUPPORTED) {
--- a/src/server/operator_endpoints.c
+++ b/src/server/operator_endpoints.c
@@ -56,6 +56,7 @@
                               {"limits_halved_total", counters->limits_reduced},
                               {"stale_messages_total", counters->stale_messages},
                               {"cancellations_begun_total", counters->cancellations_begun},
+                              {"invariant_violations_total", counters->invariant_violations},
                               {"machines_looked_at_total", counters->machines_examined}};
     append_metrics(text, metrics, G_N_ELEMENTS(metrics));
 }
--- a/tests/test_acknowledgements.c
+++ b/tests/test_acknowledgements.c
@@ -256,6 +256,15 @@
     sim_assert_rule_breaks(MV_CHECK_ACKNOWLEDGED, &plan, STARTED_LATE, 1, 20);
 }
 
+/* Replicas of a cancelled service, which do not end by themselves, run on if nothing stops them. */
+static void cancelled_check_is_needed(void)
+{
+    sim_plan plan = BASE;
+    plan.services = 0.5;
+    plan.jobs = 30;
+    sim_assert_rule_breaks(MV_CHECK_CANCELLED, &plan, "ran_cancelled", 1, 10);
+}
+
 /* The acknowledgement of a former owner does not bind the present one, so a cancellation that does
  * not require the owner's grant breaks the rule. */
 static void grant_is_needed(void)
@@ -289,5 +298,6 @@
     g_test_add_func("/acknowledgements/all-faults", all_faults);
     g_test_add_func("/acknowledgements/check-acknowledged", acknowledged_check_is_needed);
     g_test_add_func("/acknowledgements/check-grant", grant_is_needed);
+    g_test_add_func("/acknowledgements/check-cancelled", cancelled_check_is_needed);
     return g_test_run();
 }
