--- a/fault_injection/cloud_server.c
+++ b/fault_injection/cloud_server.c
@@ -14,9 +14,11 @@
 
 struct mv_cloud_server {
     unsigned capacity;
+    bool deletes_machines;
     const mv_machine_options *machine_options;
-    pthread_mutex_t lock;          /* guards `machines`, `instance_requests` and `down` */
-    GPtrArray *machines;           /* elements are mv_simulated_machine */
+    pthread_mutex_t lock;          /* guards the fields up to `down` */
+    GPtrArray *machines;           /* elements are mv_simulated_machine, the deleted ones too */
+    GHashTable *deleted;           /* set of the ids of deleted machines */
     GHashTable *instance_requests; /* request name -> GPtrArray of the machine ids granted */
     bool down;
     mv_loopback_server *server;
@@ -38,6 +40,11 @@
     return MHD_HTTP_OK;
 }
 
+static unsigned present_machines(const mv_cloud_server *server)
+{
+    return server->machines->len - g_hash_table_size(server->deleted);
+}
+
 /* Starts the requested number of machines, or fewer if the cloud's capacity does not suffice.
  * Returns the ids of the new machines. */
 static GPtrArray *start_machines(mv_cloud_server *server, const msgpack_object *body)
@@ -49,7 +56,7 @@
     mv_field_read_u64(body, WIRE_COUNT, &count);
     mv_field_read_bool(body, WIRE_SPOT, &spot);
     GPtrArray *ids = g_ptr_array_new_with_free_func(g_free);
-    for (uint64_t i = 0; i < count && server->machines->len < server->capacity; i++) {
+    for (uint64_t i = 0; i < count && present_machines(server) < server->capacity; i++) {
         char *id = g_strdup_printf("vm-%06u", server->machines->len + 1);
         g_ptr_array_add(server->machines,
                         mv_simulated_machine_start(server->machine_options, id, type_name, spot));
@@ -101,6 +108,28 @@
     return MHD_HTTP_SERVICE_UNAVAILABLE;
 }
 
+static void delete_machine(mv_cloud_server *server, const char *id)
+{
+    for (guint i = 0; i < server->machines->len; i++) {
+        mv_simulated_machine *machine = g_ptr_array_index(server->machines, i);
+        if (strcmp(mv_simulated_machine_id(machine), id) == 0 &&
+            g_hash_table_add(server->deleted, g_strdup(id)))
+            mv_simulated_machine_delete(machine);
+    }
+}
+
+/* Deletes the named machines, with their tasks, before it responds. */
+static int delete_instances(mv_cloud_server *server, const msgpack_object *body)
+{
+    const msgpack_object_array *names = mv_field_read_list(body, WIRE_MACHINES);
+    for (uint32_t i = 0; server->deletes_machines && names && i < names->size; i++) {
+        char id[MV_NAME_SIZE];
+        if (mv_text_copy(&names->ptr[i], id, sizeof id))
+            delete_machine(server, id);
+    }
+    return MHD_HTTP_OK;
+}
+
 static int route(mv_cloud_server *server, const mv_loopback_request *request, mv_writer *response)
 {
     if (server->down)
@@ -108,7 +137,7 @@
     if (strcmp(request->path, WIRE_MACHINE_TYPES_PATH) == 0)
         return list_machine_types(response);
     if (strcmp(request->path, WIRE_INSTANCES_PATH) != 0)
-        return MHD_HTTP_OK; /* the fake cloud accepts a release request but keeps the machine */
+        return delete_instances(server, request->body);
     if (strcmp(request->method, "POST") == 0)
         return request_instances(server, request->body, response);
     return list_instances(response);
@@ -123,13 +152,16 @@
     return status;
 }
 
-mv_cloud_server *mv_cloud_server_start(unsigned capacity, const mv_machine_options *machine_options)
+mv_cloud_server *mv_cloud_server_start(unsigned capacity, bool deletes_machines,
+                                       const mv_machine_options *machine_options)
 {
     mv_cloud_server *server = g_new0(mv_cloud_server, 1);
     server->capacity = capacity;
+    server->deletes_machines = deletes_machines;
     server->machine_options = machine_options;
     pthread_mutex_init(&server->lock, NULL);
     server->machines = g_ptr_array_new();
+    server->deleted = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     server->instance_requests =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
     server->server = mv_loopback_server_start(handle_request, server);
@@ -157,6 +189,23 @@
     pthread_mutex_unlock(&server->lock);
 }
 
+void mv_cloud_server_set_hung(mv_cloud_server *server, unsigned machine, bool hung)
+{
+    pthread_mutex_lock(&server->lock);
+    if (machine < server->machines->len)
+        mv_simulated_machine_set_hung(g_ptr_array_index(server->machines, machine), hung);
+    pthread_mutex_unlock(&server->lock);
+}
+
+void mv_cloud_server_set_heartbeats_lost(mv_cloud_server *server, unsigned machine, bool lost)
+{
+    pthread_mutex_lock(&server->lock);
+    if (machine < server->machines->len)
+        mv_simulated_machine_set_heartbeats_lost(g_ptr_array_index(server->machines, machine),
+                                                 lost);
+    pthread_mutex_unlock(&server->lock);
+}
+
 /* Stops the server first, so that no request starts another machine, and then all machines at the
  * same time. */
 void mv_cloud_server_stop(mv_cloud_server *server)
@@ -167,6 +216,7 @@
     for (guint i = 0; i < server->machines->len; i++)
         mv_simulated_machine_free(g_ptr_array_index(server->machines, i));
     g_ptr_array_unref(server->machines);
+    g_hash_table_unref(server->deleted);
     g_hash_table_unref(server->instance_requests);
     pthread_mutex_destroy(&server->lock);
     g_free(server);
--- a/fault_injection/cloud_server.h
+++ b/fault_injection/cloud_server.h
@@ -11,9 +11,10 @@
 
 typedef struct mv_cloud_server mv_cloud_server;
 
-/** Starts a cloud that can provide `capacity` machines. The caller keeps `machine_options`, which
- * must outlive the server. */
-mv_cloud_server *mv_cloud_server_start(unsigned capacity,
+/** Starts a cloud that can provide `capacity` machines at the same time. If `deletes_machines` is
+ * false, the cloud accepts a request to delete machines and keeps them. The caller keeps
+ * `machine_options`, which must outlive the server. */
+mv_cloud_server *mv_cloud_server_start(unsigned capacity, bool deletes_machines,
                                        const mv_machine_options *machine_options);
 
 /** Returns the port on which the server listens. */
@@ -29,6 +30,13 @@
 void mv_cloud_server_set_command_link(mv_cloud_server *server, unsigned machine,
                                       const mv_link_fault *fault);
 
+/** Lets a machine hang or continue. `machine` is as in mv_cloud_server_set_command_link. */
+void mv_cloud_server_set_hung(mv_cloud_server *server, unsigned machine, bool hung);
+
+/** Sets whether the heartbeats of a machine are lost. `machine` is as in
+ * mv_cloud_server_set_command_link. */
+void mv_cloud_server_set_heartbeats_lost(mv_cloud_server *server, unsigned machine, bool lost);
+
 /** Stops the server and all machines, and frees them. */
 void mv_cloud_server_stop(mv_cloud_server *server);
 #endif
--- a/fault_injection/controller_cluster.c
+++ b/fault_injection/controller_cluster.c
@@ -71,12 +71,13 @@
     g_string_append_printf(
         text,
         "[outside]\ncloud = \"127.0.0.1:%u\"\nstate = \"127.0.0.1:%u\"\n[settings]\n"
-        "count = %u\n[[settings.teams]]\nname = \"red\"\ncpus_max = 40.0\n"
+        "count = %u\n[[settings.teams]]\nname = \"red\"\ncpus_max = %.1f\n"
         "[settings.workers]\nreport_s = %.1f\nlease_s = %.1f\ncancel_s = %.1f\n"
         "[settings.state]\nrps = %.1f\nwrite_rps = 200.0\nvalue_kb = 16.0\ntxn_ops = 12\n"
         "[settings.cloud]\nrps = 20.0\nlist_lag_s = 1.0\n",
-        cloud_port, state_port, cluster->count, options->report_s, options->lease_s,
-        options->cancel_s, options->state_rps);
+        cloud_port, state_port, cluster->count,
+        options->team_cores > 0 ? options->team_cores : MV_CLUSTER_TEAM_CORES, options->report_s,
+        options->lease_s, options->cancel_s, options->state_rps);
 }
 
 bool mv_cluster_configure(const mv_controller_cluster *cluster, unsigned index, uint16_t state_port,
@@ -122,6 +123,22 @@
     return node->pid > 0;
 }
 
+void mv_cluster_set_paused(const mv_controller_cluster *cluster, unsigned index, bool paused)
+{
+    const pid_t pid = cluster->nodes[index].pid;
+    if (pid > 0)
+        kill(pid, paused ? SIGSTOP : SIGCONT);
+}
+
+bool mv_cluster_has_ended(mv_controller_cluster *cluster, unsigned index)
+{
+    mv_controller_process *node = &cluster->nodes[index];
+    if (node->pid <= 0 || waitpid(node->pid, NULL, WNOHANG) != node->pid)
+        return false;
+    node->pid = 0;
+    return true;
+}
+
 void mv_cluster_kill_node(mv_controller_cluster *cluster, unsigned index)
 {
     mv_controller_process *node = &cluster->nodes[index];
--- a/fault_injection/controller_cluster.h
+++ b/fault_injection/controller_cluster.h
@@ -21,6 +21,9 @@
     char *config, *log;   /**< paths of the settings file and of the log file; owned */
 } mv_controller_process;
 
+/** Limit of the team "red", in cores, unless the options name another one. */
+#define MV_CLUSTER_TEAM_CORES 40.0
+
 /** The options that all controllers share. The caller keeps the strings, which must outlive the
  * cluster. */
 typedef struct {
@@ -29,6 +32,7 @@
     const char *operator_file; /**< path of the operator settings; NULL: none */
     /** Values of report_s, lease_s, cancel_s and settings.state.rps in the settings files. */
     double report_s, lease_s, cancel_s, state_rps;
+    double team_cores; /**< limit of the team "red"; 0: MV_CLUSTER_TEAM_CORES */
 } mv_cluster_options;
 
 /** The cluster: the shared options and all controller processes. */
@@ -55,6 +59,14 @@
 /** Starts a controller that does not run. Returns false if the process cannot be started. */
 bool mv_cluster_start_node(mv_controller_cluster *cluster, unsigned index);
 
+/** Stops the process of a controller, or continues it. The function does nothing if the controller
+ * does not run. */
+void mv_cluster_set_paused(const mv_controller_cluster *cluster, unsigned index, bool paused);
+
+/** Returns whether the process of a controller that was started has ended by itself since. A
+ * controller for which the function returns true does not run any more. */
+bool mv_cluster_has_ended(mv_controller_cluster *cluster, unsigned index);
+
 /** Kills a controller with SIGKILL, so that the controller cannot shut down cleanly, and waits
  * until the process has ended. The function does nothing if the controller does not run. */
 void mv_cluster_kill_node(mv_controller_cluster *cluster, unsigned index);
--- a/fault_injection/environment.c
+++ b/fault_injection/environment.c
@@ -5,8 +5,11 @@
 #include "environment.h"
 
 #include "cloud_server.h"
+#include "protocol/records.h"
 #include "state_store_server.h"
 
+#include <stdio.h>
+
 struct mv_environment {
     mv_machine_options machine_options; /* must not change after the first machine has started */
     mv_state_store_server *state;
@@ -21,7 +24,8 @@
                                                         .heartbeat_ms = options->heartbeat_ms,
                                                         .history = options->history};
     environment->state = mv_state_store_server_start(options->refuse_every, options->history);
-    environment->cloud = mv_cloud_server_start(options->machines, &environment->machine_options);
+    environment->cloud = mv_cloud_server_start(options->machines, options->deletes_machines,
+                                               &environment->machine_options);
     return environment;
 }
 
@@ -69,6 +73,41 @@
     mv_cloud_server_set_command_link(environment->cloud, machine, fault);
 }
 
+void mv_environment_set_hung(mv_environment *environment, unsigned machine, bool hung)
+{
+    mv_cloud_server_set_hung(environment->cloud, machine, hung);
+}
+
+void mv_environment_set_heartbeats_lost(mv_environment *environment, unsigned machine, bool lost)
+{
+    mv_cloud_server_set_heartbeats_lost(environment->cloud, machine, lost);
+}
+
+/* Returns the number in the name of a controller, "n" and digits, or `fallback`. */
+static unsigned parse_holder(GBytes *data, unsigned fallback)
+{
+    gsize size;
+    const void *bytes = g_bytes_get_data(data, &size);
+    g_autoptr(mv_document) document = mv_document_parse(bytes, size);
+    mv_lease_holder holder = {0};
+    unsigned number = fallback;
+    if (document && mv_lease_holder_parse(mv_document_root(document), &holder) &&
+        sscanf(holder.node, "n%u", &number) != 1)
+        number = fallback;
+    mv_lease_holder_clear(&holder);
+    return number;
+}
+
+unsigned mv_environment_lease_holder(mv_environment *environment, const char *key,
+                                     unsigned fallback)
+{
+    const fake_state_store *store = mv_state_store_server_lock(environment->state);
+    const fake_record *record = fake_state_store_get((fake_state_store *)store, key);
+    const unsigned holder = record ? parse_holder(record->data, fallback) : fallback;
+    mv_state_store_server_unlock(environment->state);
+    return holder;
+}
+
 fake_state_store *mv_environment_lock(mv_environment *environment)
 {
     return mv_state_store_server_lock(environment->state);
--- a/fault_injection/environment.h
+++ b/fault_injection/environment.h
@@ -22,6 +22,7 @@
     double run_s;          /**< runtime of each task */
     double lease_s;        /**< lease of a machine */
     unsigned heartbeat_ms; /**< pause between two heartbeats of a machine */
+    bool deletes_machines; /**< the cloud deletes machines on request; false: it keeps them */
     unsigned refuse_every; /**< the state service refuses every n-th transaction; 0: none */
     mv_history *history;   /**< not owned, must outlive the environment; NULL: no recording */
 } mv_environment_options;
@@ -56,6 +57,18 @@
 void mv_environment_set_command_link(mv_environment *environment, unsigned machine,
                                      const mv_link_fault *fault);
 
+/** Lets a machine hang or continue. `machine` is as in mv_environment_set_command_link. */
+void mv_environment_set_hung(mv_environment *environment, unsigned machine, bool hung);
+
+/** Sets whether the heartbeats of a machine are lost. `machine` is as in
+ * mv_environment_set_command_link. */
+void mv_environment_set_heartbeats_lost(mv_environment *environment, unsigned machine, bool lost);
+
+/** Returns the number of the controller that a lease record names, such as the leader's record or
+ * the record of a shard, or `fallback` if there is no such record. */
+unsigned mv_environment_lease_holder(mv_environment *environment, const char *key,
+                                     unsigned fallback);
+
 /** Locks the fake state service and returns its store. Only the caller may use the store until
  * mv_environment_unlock. */
 fake_state_store *mv_environment_lock(mv_environment *environment);
--- a/fault_injection/history.c
+++ b/fault_injection/history.c
@@ -17,7 +17,8 @@
 /* The names of the event kinds in the history file. They must not change, because people and
  * scripts read recorded histories. */
 static const char *const KIND_NAMES[MV_EVENT_KINDS] = {
-    "accepted", "started", "done", "gone", "recorded", "answered", "unknown", "trouble"};
+    "accepted", "started", "done",     "gone",  "recorded", "answered",
+    "unknown",  "trouble", "invented", "ended", "invariant"};
 
 mv_history *mv_history_open(const char *path)
 {
--- a/fault_injection/history.h
+++ b/fault_injection/history.h
@@ -24,6 +24,9 @@
     MV_EVENT_RESPONDED, /**< a user received `text` as the state of the job */
     MV_EVENT_UNKNOWN,   /**< a user received the response that the job is unknown */
     MV_EVENT_FAULT,     /**< the runner began or ended a fault of the script; `text` describes it */
+    MV_EVENT_INVENTED,  /**< a user received the state of a job that nobody submitted */
+    MV_EVENT_ENDED,     /**< a controller's process ended by itself; `subject` is the controller */
+    MV_EVENT_INVARIANT, /**< a controller logged a violated invariant; `text` is its rule */
     MV_EVENT_KINDS      /**< the number of kinds */
 } mv_event_kind;
 
@@ -33,7 +36,8 @@
     mv_event_kind kind;
     char subject[MV_NAME_SIZE]; /**< id of the machine on which a task started or ended */
     char job_id[MV_ID_SIZE];
-    uint32_t task;          /**< number of the task within the job */
+    uint32_t task;          /**< number of the task within the job; MV_EVENT_ACCEPTED: the number of
+                               tasks of the job, 0 if it is not known */
     uint64_t attempt;       /**< number of the attempt to run the task */
     uint64_t fencing_token; /**< fencing token that the machine held at the time of the event */
     char text[80];
--- a/fault_injection/scenario.c
+++ b/fault_injection/scenario.c
@@ -7,11 +7,17 @@
 #include <cyaml/cyaml.h>
 
 #define CONTROLLERS_MAX 10
-#define MACHINES_MAX 64
+#define MACHINES_MAX 400
 #define SECONDS_MAX 3600
 #define JOBS_MAX 10000
 #define TASKS_MAX 100
 #define TIME_MS_MAX 600000
+#define CANCEL_S_MIN 13 /* below, the settings leave no time for a shard lease */
+#define CANCEL_S_MAX 120
+#define CANCEL_S_DEFAULT 30
+#define TEAM_CORES_MAX 10000
+#define TEAM_CORES_DEFAULT 40
+#define SHARDS_MAX 10
 #define FAULT_INTERVAL_MS_MIN 100
 
 G_DEFINE_QUARK(mv - scenario - error - quark, mv_scenario_error)
@@ -22,7 +28,14 @@
                                          {"peers", MV_FAULT_PEER_LINKS},
                                          {"reports", MV_FAULT_HEARTBEAT_LINK},
                                          {"commands", MV_FAULT_COMMAND_LINK},
-                                         {"kill", MV_FAULT_CONTROLLER}};
+                                         {"kill", MV_FAULT_CONTROLLER},
+                                         {"kill_leader", MV_FAULT_LEADER},
+                                         {"kill_owner", MV_FAULT_OWNER},
+                                         {"pause", MV_FAULT_PAUSE},
+                                         {"all_state", MV_FAULT_ALL_STATE_LINKS},
+                                         {"cloud", MV_FAULT_CLOUD},
+                                         {"hang", MV_FAULT_MACHINE},
+                                         {"machine_reports", MV_FAULT_MACHINE_HEARTBEATS}};
 static const cyaml_strval_t MODES[] = {{"both", MV_FAULT_DROP_BOTH},
                                        {"requests", MV_FAULT_DROP_REQUESTS},
                                        {"answers", MV_FAULT_DROP_RESPONSES},
@@ -55,6 +68,11 @@
     CYAML_FIELD_UINT("most_tasks", CYAML_FLAG_DEFAULT, mv_scenario, max_tasks),
     CYAML_FIELD_UINT("run_ms", CYAML_FLAG_DEFAULT, mv_scenario, run_ms),
     CYAML_FIELD_UINT("cancel_percent", CYAML_FLAG_OPTIONAL, mv_scenario, cancel_percent),
+    CYAML_FIELD_UINT("cancel_s", CYAML_FLAG_OPTIONAL, mv_scenario, cancel_s),
+    CYAML_FIELD_UINT("team_cores", CYAML_FLAG_OPTIONAL, mv_scenario, team_cores),
+    CYAML_FIELD_UINT("shards", CYAML_FLAG_OPTIONAL, mv_scenario, shards),
+    CYAML_FIELD_ENUM("repeat_requests", CYAML_FLAG_OPTIONAL | CYAML_FLAG_STRICT, mv_scenario,
+                     repeat_requests, BOOLEANS, G_N_ELEMENTS(BOOLEANS)),
     CYAML_FIELD_SEQUENCE_COUNT("troubles", CYAML_FLAG_POINTER, mv_scenario, faults, fault_count,
                                &FAULT_SCHEMA, 0, CYAML_UNLIMITED),
     CYAML_FIELD_END};
@@ -108,7 +126,10 @@
                             {"jobs", scenario->jobs, 1, JOBS_MAX},
                             {"most_tasks", scenario->max_tasks, 1, TASKS_MAX},
                             {"run_ms", scenario->run_ms, 1, TIME_MS_MAX},
-                            {"cancel_percent", scenario->cancel_percent, 0, 100}};
+                            {"cancel_percent", scenario->cancel_percent, 0, 100},
+                            {"cancel_s", scenario->cancel_s, CANCEL_S_MIN, CANCEL_S_MAX},
+                            {"team_cores", scenario->team_cores, 1, TEAM_CORES_MAX},
+                            {"shards", scenario->shards, 0, SHARDS_MAX}};
     if (!are_within(bounds, G_N_ELEMENTS(bounds), path, error))
         return false;
     for (unsigned i = 0; i < scenario->fault_count; i++) {
@@ -121,6 +142,23 @@
 
 /* --- loading --- */
 
+static void set_defaults(mv_scenario *scenario)
+{
+    if (!scenario->cancel_s)
+        scenario->cancel_s = CANCEL_S_DEFAULT;
+    if (!scenario->team_cores)
+        scenario->team_cores = TEAM_CORES_DEFAULT;
+}
+
+double mv_scenario_max_hang_s(const mv_scenario *scenario)
+{
+    unsigned max_ms = 0;
+    for (unsigned i = 0; i < scenario->fault_count; i++)
+        if (scenario->faults[i].target == MV_FAULT_MACHINE)
+            max_ms = MAX(max_ms, scenario->faults[i].max_ms);
+    return max_ms / 1000.0;
+}
+
 /* Log function for libcyaml: appends each error message to a GString. libcyaml logs first the
  * error itself and then its location, one message with a line number for each enclosing field. */
 static void collect_messages(cyaml_log_t level, void *context, const char *format, va_list args)
@@ -151,6 +189,7 @@
                     messages->len ? g_strchomp(messages->str) : cyaml_strerror(result));
         return NULL;
     }
+    set_defaults(scenario);
     if (!scenario_is_valid(scenario, path, error))
         return NULL;
     return g_steal_pointer(&scenario);
--- a/fault_injection/scenario.h
+++ b/fault_injection/scenario.h
@@ -15,7 +15,14 @@
     MV_FAULT_HEARTBEAT_LINK, /**< the link from the machines to a controller */
     MV_FAULT_COMMAND_LINK,   /**< the link on which commands reach a machine */
     MV_FAULT_CONTROLLER, /**< a controller: killed when the fault begins, restarted at its end */
-    MV_FAULT_TARGETS     /**< the number of targets */
+    MV_FAULT_LEADER,     /**< the same, for the controller that leads when the fault begins */
+    MV_FAULT_OWNER,      /**< the same, for the owner of the first shard */
+    MV_FAULT_PAUSE,      /**< a controller's process: stopped, and continued at the fault's end */
+    MV_FAULT_ALL_STATE_LINKS,    /**< the links from all controllers to the state service */
+    MV_FAULT_CLOUD,              /**< the cloud: refuses every request */
+    MV_FAULT_MACHINE,            /**< a machine: hangs, and continues at the fault's end */
+    MV_FAULT_MACHINE_HEARTBEATS, /**< the link on which a machine sends its heartbeats */
+    MV_FAULT_TARGETS             /**< the number of targets */
 } mv_fault_target;
 
 /** The ways in which a link fails. The client is the process that opens the connection. */
@@ -41,12 +48,17 @@
 /** A scenario: the size of the cluster, the jobs that users submit, and the faults. */
 typedef struct {
     unsigned controllers, machines;
-    unsigned seconds;        /**< duration of faults and submissions; then every job has to end */
-    unsigned launch_gate;    /**< 1: the controllers run with the setting `launch_gate: true` */
-    unsigned jobs;           /**< number of jobs that users submit within `seconds` */
-    unsigned max_tasks;      /**< largest number of tasks of a job */
-    unsigned run_ms;         /**< runtime of each task */
-    unsigned cancel_percent; /**< percentage of the jobs that users cancel */
+    unsigned seconds;         /**< duration of faults and submissions; then every job has to end */
+    unsigned launch_gate;     /**< 1: the controllers run with the setting `launch_gate: true` */
+    unsigned jobs;            /**< number of jobs that users submit within `seconds` */
+    unsigned max_tasks;       /**< largest number of tasks of a job */
+    unsigned run_ms;          /**< runtime of each task */
+    unsigned cancel_percent;  /**< percentage of the jobs that users cancel */
+    unsigned cancel_s;        /**< settings.workers.cancel_s of the controllers */
+    unsigned team_cores;      /**< limit of the users' team */
+    unsigned shards;          /**< operator setting of the same name; 0: its default */
+    unsigned repeat_requests; /**< 1: users repeat their requests at all controllers once a job has
+                                 a final state */
     mv_scenario_fault *faults;
     unsigned fault_count;
 } mv_scenario;
@@ -64,6 +76,10 @@
 /** Returns the quark of MV_SCENARIO_ERROR. */
 GQuark mv_scenario_error_quark(void);
 
+/** Returns the longest time, in seconds, for which a machine of the scenario hangs; 0: none hangs.
+ */
+double mv_scenario_max_hang_s(const mv_scenario *scenario);
+
 /** Loads a scenario from a YAML file. The caller frees the scenario with mv_scenario_free. Returns
  * NULL and sets `error` if the file cannot be loaded. */
 mv_scenario *mv_scenario_load(const char *path, GError **error);
--- a/fault_injection/scenario_runner.c
+++ b/fault_injection/scenario_runner.c
@@ -8,17 +8,22 @@
 #include "cluster_links.h"
 #include "controller_cluster.h"
 #include "environment.h"
+#include "protocol/names.h"
 #include "script.h"
+#include "simulated_machine.h"
 #include "simulated_users.h"
 #include "transport/http_client.h"
 
 #include <stdio.h>
+#include <string.h>
 
 #define FINISH_POLL_MS 100
 #define HEARTBEAT_S 0.6 /* settings.workers.report_s of the controllers */
 #define LEASE_S 6.0     /* settings.workers.lease_s of the controllers; also the machines' lease */
-#define CANCEL_S 30.0   /* settings.workers.cancel_s of the controllers */
 #define STATE_RPS 500.0 /* settings.state.rps of the controllers */
+#define INVARIANT_EVENT "event=invariant_violated "
+/* An end is recorded at the machine's next heartbeat, which may wait for the one before it. */
+#define EXIT_RECORD_DELAY_S 5.0
 #define MACHINE_HEARTBEAT_MS 200 /* pause of a simulated machine between two heartbeats */
 
 G_DEFINE_QUARK(mv - scenario - run - error - quark, mv_scenario_run_error)
@@ -58,6 +63,51 @@
            mv_cluster_start_node(run->cluster, step->target_index);
 }
 
+/* Kills the controller that a lease record names, and starts every controller that does not run
+ * when the fault ends: which one was killed is known only during the run. */
+static bool kill_holder_or_restart(scenario_run *run, const mv_step *step, const char *key)
+{
+    if (step->kind == MV_STEP_FAULT_BEGIN) {
+        mv_cluster_kill_node(
+            run->cluster, mv_environment_lease_holder(run->environment, key, step->target_index));
+        return true;
+    }
+    for (unsigned i = 0; i < run->cluster->count; i++)
+        if (run->cluster->nodes[i].pid == 0 && !mv_cluster_start_node(run->cluster, i))
+            return false;
+    return true;
+}
+
+static void set_all_state_links(const scenario_run *run, const mv_link_fault *fault)
+{
+    for (unsigned i = 0; i < run->cluster->count; i++)
+        mv_cluster_links_set_state(run->links, i, fault);
+}
+
+/* Injects a fault into a link or a machine, or ends the fault. */
+static void inject_environment_fault(const scenario_run *run, const mv_step *step)
+{
+    const mv_link_fault fault = link_fault_of(step);
+    const bool begins = step->kind == MV_STEP_FAULT_BEGIN;
+    switch (step->target) {
+    case MV_FAULT_COMMAND_LINK:
+        mv_environment_set_command_link(run->environment, step->target_index, &fault);
+        break;
+    case MV_FAULT_MACHINE:
+        mv_environment_set_hung(run->environment, step->target_index, begins);
+        break;
+    case MV_FAULT_MACHINE_HEARTBEATS:
+        mv_environment_set_heartbeats_lost(run->environment, step->target_index, begins);
+        break;
+    case MV_FAULT_CLOUD:
+        mv_environment_set_cloud_down(run->environment, begins);
+        break;
+    default:
+        set_all_state_links(run, &fault);
+        break;
+    }
+}
+
 static bool inject_fault(scenario_run *run, const mv_step *step)
 {
     const mv_link_fault fault = link_fault_of(step);
@@ -71,11 +121,45 @@
     case MV_FAULT_PEER_LINKS:
         mv_cluster_links_set_peers(run->links, step->target_index, &fault);
         return true;
-    case MV_FAULT_COMMAND_LINK:
-        mv_environment_set_command_link(run->environment, step->target_index, &fault);
+    case MV_FAULT_CONTROLLER:
+        return kill_or_restart(run, step);
+    case MV_FAULT_LEADER:
+        return kill_holder_or_restart(run, step, KEY_LEADER);
+    case MV_FAULT_OWNER:
+        return kill_holder_or_restart(run, step, KEY_SHARD_PREFIX "0");
+    case MV_FAULT_PAUSE:
+        mv_cluster_set_paused(run->cluster, step->target_index, step->kind == MV_STEP_FAULT_BEGIN);
         return true;
     default:
-        return kill_or_restart(run, step);
+        inject_environment_fault(run, step);
+        return true;
+    }
+}
+
+/* Adds an event for each controller whose process has ended by itself. */
+static void record_ended_processes(const scenario_run *run)
+{
+    for (unsigned i = 0; i < run->cluster->count; i++) {
+        if (!mv_cluster_has_ended(run->cluster, i))
+            continue;
+        mv_event event = {.kind = MV_EVENT_ENDED};
+        g_snprintf(event.subject, sizeof event.subject, "n%u", i);
+        mv_history_add(run->history, event);
+    }
+}
+
+/* Adds an event for each line of a controller's log that reports a violated invariant. */
+static void record_violated_invariants(const scenario_run *run, unsigned controller)
+{
+    g_autofree char *log = NULL;
+    if (!g_file_get_contents(run->cluster->nodes[controller].log, &log, NULL, NULL))
+        return;
+    for (const char *line = log; (line = strstr(line, INVARIANT_EVENT)); line++) {
+        mv_event event = {.kind = MV_EVENT_INVARIANT};
+        g_snprintf(event.subject, sizeof event.subject, "n%u", controller);
+        const char *rule = line + strlen(INVARIANT_EVENT);
+        g_strlcpy(event.text, rule, MIN(sizeof event.text, strcspn(rule, "\n") + 1));
+        mv_history_add(run->history, event);
     }
 }
 
@@ -106,6 +190,7 @@
             continue; /* the threads of the simulated users perform these steps */
         wait_until(run, step->at);
         record_fault(run, step);
+        record_ended_processes(run);
         if (!inject_fault(run, step))
             return false;
     }
@@ -124,6 +209,7 @@
     const mv_users_options user_options = {.steps = run->steps,
                                            .jobs = run->scenario->jobs,
                                            .estimated_runtime_s = run->scenario->run_ms / 1000.0,
+                                           .repeat_requests = run->scenario->repeat_requests,
                                            .cluster = run->cluster,
                                            .history = run->history};
     mv_simulated_users *users = mv_simulated_users_start(&user_options);
@@ -136,6 +222,9 @@
                     "%s: cannot be started", run->options->program);
     *complete = mv_simulated_users_are_finished(users);
     mv_simulated_users_stop(users);
+    record_ended_processes(run);
+    for (unsigned i = 0; i < run->cluster->count; i++)
+        record_violated_invariants(run, i);
     return injected;
 }
 
@@ -143,10 +232,13 @@
 
 static char *write_operator_file(const mv_scenario *scenario, const char *directory)
 {
-    if (!scenario->launch_gate)
+    g_autoptr(GString) text = g_string_new(scenario->launch_gate ? "launch_gate: true\n" : "");
+    if (scenario->shards)
+        g_string_append_printf(text, "shards: %u\n", scenario->shards);
+    if (text->len == 0)
         return NULL;
     g_autofree char *path = g_strdup_printf("%s/operator.yaml", directory);
-    if (!g_file_set_contents(path, "launch_gate: true\n", -1, NULL))
+    if (!g_file_set_contents(path, text->str, -1, NULL))
         return NULL;
     return g_steal_pointer(&path);
 }
@@ -167,6 +259,7 @@
                                             .run_s = run->scenario->run_ms / 1000.0,
                                             .lease_s = LEASE_S,
                                             .heartbeat_ms = MACHINE_HEARTBEAT_MS,
+                                            .deletes_machines = true,
                                             .history = run->history};
     return mv_environment_start(&options);
 }
@@ -178,7 +271,8 @@
                                         .operator_file = run->operator_file,
                                         .report_s = HEARTBEAT_S,
                                         .lease_s = LEASE_S,
-                                        .cancel_s = CANCEL_S,
+                                        .cancel_s = run->scenario->cancel_s,
+                                        .team_cores = run->scenario->team_cores,
                                         .state_rps = STATE_RPS};
     return mv_cluster_new(&options, run->scenario->controllers);
 }
@@ -229,6 +323,13 @@
     mv_cluster_free(run->cluster, true);
 }
 
+static mv_check_limits limits_of(const mv_scenario *scenario)
+{
+    return (mv_check_limits){.cancel_s = scenario->cancel_s,
+                             .exit_delay_s = mv_scenario_max_hang_s(scenario) + EXIT_RECORD_DELAY_S,
+                             .team_tasks = scenario->team_cores / MV_SIMULATED_TASK_CORES};
+}
+
 mv_scenario_run_result *mv_scenario_run(const mv_scenario *scenario, uint32_t seed,
                                         const mv_scenario_run_options *options, GError **error)
 {
@@ -247,6 +348,7 @@
     if (played) {
         result = g_new0(mv_scenario_run_result, 1);
         result->events = mv_history_events(run.history);
+        result->limits = limits_of(scenario);
         result->complete = complete;
     }
     g_array_unref(run.steps);
--- a/fault_injection/scenario_runner.h
+++ b/fault_injection/scenario_runner.h
@@ -3,7 +3,7 @@
  */
 #ifndef MV_SCENARIO_RUNNER_H
 #define MV_SCENARIO_RUNNER_H
-#include "history.h"
+#include "history_checker.h"
 #include "scenario.h"
 
 /** Longest time, in seconds, that the runner waits for all jobs to reach a final state after the
@@ -19,9 +19,10 @@
 
 /** The result of a run. */
 typedef struct {
-    GArray *events; /**< the history, elements are mv_event; owned */
-    bool complete;  /**< users received a final state of every job within
-                       MV_SCENARIO_FINISH_TIMEOUT_S */
+    GArray *events;         /**< the history, elements are mv_event; owned */
+    mv_check_limits limits; /**< what the history checker has to know of the scenario */
+    bool complete;          /**< users received a final state of every job within
+                               MV_SCENARIO_FINISH_TIMEOUT_S */
 } mv_scenario_run_result;
 
 /** Reasons why a run fails. The error message names the file concerned. */
--- a/fault_injection/simulated_machine.c
+++ b/fault_injection/simulated_machine.c
@@ -17,16 +17,17 @@
 
 /* The published protocol sets this time for a heartbeat that receives no response. */
 #define HEARTBEAT_TIMEOUT_MS 4000
-#define TASK_CORES 2
+#define TASK_CORES MV_SIMULATED_TASK_CORES
 #define TASK_RAM_GB 1
+#define HANG_POLL_US 5000
 
 struct mv_simulated_machine {
     const mv_machine_options *options;
-    pthread_mutex_t lock; /* guards `worker`, `recorded` and `stopping` */
+    pthread_mutex_t lock; /* guards all fields up to `deleted` */
     fake_worker *worker;
     /* "job/task/attempt" -> fake_task, a copy of each task as of the latest record_changes */
     GHashTable *recorded;
-    bool stopping;
+    bool stopping, hung, heartbeats_lost, deleted;
     mv_loopback_server *server;
     mv_relay *command_link;
     pthread_t thread;
@@ -103,6 +104,19 @@
     }
 }
 
+/* --- hangs --- */
+
+/* Waits until the machine does not hang. Returns with the machine's lock taken. */
+static void lock_when_running(mv_simulated_machine *machine)
+{
+    pthread_mutex_lock(&machine->lock);
+    while (machine->hung && !machine->stopping) {
+        pthread_mutex_unlock(&machine->lock);
+        g_usleep(HANG_POLL_US);
+        pthread_mutex_lock(&machine->lock);
+    }
+}
+
 /* --- commands --- */
 
 static fake_task_spec task_spec(void *context, const char *job, uint32_t task)
@@ -132,7 +146,11 @@
         mv_field_read_u64(request->body, WIRE_AGENT_EPOCH, &agent_epoch) != MV_FIELD_PRESENT)
         return MHD_HTTP_BAD_REQUEST;
     g_autoptr(GArray) commands = mv_agent_read_commands(request->body);
-    pthread_mutex_lock(&machine->lock);
+    lock_when_running(machine);
+    if (machine->deleted) {
+        pthread_mutex_unlock(&machine->lock);
+        return MHD_HTTP_SERVICE_UNAVAILABLE;
+    }
     const int status =
         fake_worker_receive_command(machine->worker, fencing_token, agent_epoch, commands,
                                     mv_steady_now_s(), task_spec, (void *)machine->options);
@@ -153,7 +171,7 @@
 static sent_heartbeat next_heartbeat(mv_simulated_machine *machine)
 {
     mv_writer *writer = mv_writer_new();
-    pthread_mutex_lock(&machine->lock);
+    lock_when_running(machine);
     fake_worker_advance(machine->worker, mv_steady_now_s());
     record_changes(machine);
     sent_heartbeat heartbeat = {.agent_epoch = machine->worker->agent_epoch,
@@ -173,7 +191,12 @@
     if (mv_field_read_u64(body, WIRE_FENCING_TOKEN, &fencing_token) != MV_FIELD_PRESENT)
         return false;
     g_autoptr(GArray) commands = mv_agent_read_commands(body);
-    pthread_mutex_lock(&machine->lock);
+    lock_when_running(machine);
+    const bool given_up = mv_steady_now_s() > heartbeat->sent_at + HEARTBEAT_TIMEOUT_MS / 1000.0;
+    if (machine->deleted || given_up) {
+        pthread_mutex_unlock(&machine->lock);
+        return false;
+    }
     fake_worker_receive_response(machine->worker, heartbeat->agent_epoch, heartbeat->sent_at,
                                  fencing_token, commands, mv_steady_now_s(), task_spec,
                                  (void *)machine->options);
@@ -226,17 +249,35 @@
 static bool is_stopping(mv_simulated_machine *machine)
 {
     pthread_mutex_lock(&machine->lock);
-    const bool stopping = machine->stopping;
+    const bool stopping = machine->stopping || machine->deleted;
     pthread_mutex_unlock(&machine->lock);
     return stopping;
 }
 
+/* Lets the worker's clock run on without a heartbeat. */
+static void skip_heartbeat(mv_simulated_machine *machine)
+{
+    const sent_heartbeat heartbeat = next_heartbeat(machine);
+    g_bytes_unref(heartbeat.body);
+}
+
+static bool heartbeats_are_lost(mv_simulated_machine *machine)
+{
+    pthread_mutex_lock(&machine->lock);
+    const bool lost = machine->heartbeats_lost;
+    pthread_mutex_unlock(&machine->lock);
+    return lost;
+}
+
 static void *heartbeat_thread(void *arg)
 {
     mv_simulated_machine *machine = arg;
     unsigned controller = 0;
     while (!is_stopping(machine)) {
-        controller = send_heartbeat(machine, controller);
+        if (heartbeats_are_lost(machine))
+            skip_heartbeat(machine);
+        else
+            controller = send_heartbeat(machine, controller);
         g_usleep(machine->options->heartbeat_ms * 1000ul);
     }
     return NULL;
@@ -270,6 +311,34 @@
     mv_relay_set(machine->command_link, fault);
 }
 
+void mv_simulated_machine_set_hung(mv_simulated_machine *machine, bool hung)
+{
+    pthread_mutex_lock(&machine->lock);
+    machine->hung = hung;
+    pthread_mutex_unlock(&machine->lock);
+}
+
+void mv_simulated_machine_set_heartbeats_lost(mv_simulated_machine *machine, bool lost)
+{
+    pthread_mutex_lock(&machine->lock);
+    machine->heartbeats_lost = lost;
+    pthread_mutex_unlock(&machine->lock);
+}
+
+void mv_simulated_machine_delete(mv_simulated_machine *machine)
+{
+    pthread_mutex_lock(&machine->lock);
+    machine->deleted = true;
+    g_ptr_array_set_size(machine->worker->tasks, 0);
+    record_changes(machine);
+    pthread_mutex_unlock(&machine->lock);
+}
+
+const char *mv_simulated_machine_id(const mv_simulated_machine *machine)
+{
+    return machine->worker->id;
+}
+
 void mv_simulated_machine_request_stop(mv_simulated_machine *machine)
 {
     pthread_mutex_lock(&machine->lock);
--- a/fault_injection/simulated_machine.h
+++ b/fault_injection/simulated_machine.h
@@ -13,6 +13,8 @@
 #include "relay.h"
 
 #define MV_CONTROLLERS_MAX 16
+/** Cores of each task. */
+#define MV_SIMULATED_TASK_CORES 2
 #define MV_CONTROLLER_ADDRESS_SIZE 40
 
 /** The options that all machines share. They must not change while a machine exists. */
@@ -38,6 +40,21 @@
 void mv_simulated_machine_set_command_link(mv_simulated_machine *machine,
                                            const mv_link_fault *fault);
 
+/** Lets the machine hang, or continue. A machine that hangs sends nothing, executes nothing and
+ * answers no command; the commands that it received meanwhile are executed when it continues.
+ * Thread-safe. */
+void mv_simulated_machine_set_hung(mv_simulated_machine *machine, bool hung);
+
+/** Sets whether the machine's heartbeats are lost. Commands still reach the machine. Thread-safe.
+ */
+void mv_simulated_machine_set_heartbeats_lost(mv_simulated_machine *machine, bool lost);
+
+/** Ends the machine for good, with its tasks: the cloud has taken it away. Thread-safe. */
+void mv_simulated_machine_delete(mv_simulated_machine *machine);
+
+/** Returns the machine's id, which the machine owns. */
+const char *mv_simulated_machine_id(const mv_simulated_machine *machine);
+
 /** Asks the machine's thread to end and returns without waiting for it, so that many machines can
  * end at the same time. */
 void mv_simulated_machine_request_stop(mv_simulated_machine *machine);
--- a/fault_injection/simulated_users.c
+++ b/fault_injection/simulated_users.c
@@ -6,6 +6,7 @@
 #include "protocol/messages.h"
 #include "protocol/names.h"
 #include "script.h"
+#include "simulated_machine.h"
 #include "user_client.h"
 
 #include <microhttpd.h>
@@ -13,7 +14,8 @@
 #include <string.h>
 
 #define USER_THREADS 4
-#define USER_PAUSE_MS 100 /* pause of a user between two rounds over its jobs */
+#define NEVER_SUBMITTED "j-999999" /* a job that no user submits */
+#define USER_PAUSE_MS 100          /* pause of a user between two rounds over its jobs */
 /* The published protocol sets how long users wait for a response: to a submission, and to a poll or
  * cancellation. */
 #define SUBMIT_TIMEOUT_MS 5000
@@ -67,7 +69,7 @@
 static void record_response(const mv_simulated_users *users, mv_event_kind kind,
                             const user_job *job, const char *status)
 {
-    mv_event event = {.kind = kind};
+    mv_event event = {.kind = kind, .task = kind == MV_EVENT_ACCEPTED ? job->tasks : 0};
     g_strlcpy(event.job_id, job->id, sizeof event.job_id);
     g_strlcpy(event.text, status, sizeof event.text);
     mv_history_add(users->options.history, event);
@@ -85,7 +87,7 @@
 {
     mv_job_spec spec = {.priority = MV_PRIORITY_STANDARD,
                         .tasks = job->tasks,
-                        .cores = 2,
+                        .cores = MV_SIMULATED_TASK_CORES,
                         .ram_gb = 1,
                         .spot = true,
                         .estimated_runtime_s = users->options.estimated_runtime_s,
@@ -116,6 +118,68 @@
     return strcmp(status, WIRE_DONE) == 0 || strcmp(status, WIRE_CANCELLED) == 0;
 }
 
+/* --- repeated requests --- */
+
+/* Records the response to a repeated request. Only a state of the job, a 404, and the refusal of a
+ * job that was accepted say something about the rules. */
+static void record_repeated(const mv_simulated_users *users, const user_job *job, int http_status,
+                            const char *status)
+{
+    const bool refused = http_status == MHD_HTTP_BAD_REQUEST ||
+                         http_status == MHD_HTTP_UNPROCESSABLE_CONTENT ||
+                         http_status == MHD_HTTP_NOT_FOUND;
+    if (http_status == MHD_HTTP_OK || http_status == MHD_HTTP_CREATED)
+        record_response(users, MV_EVENT_RESPONDED, job, status);
+    else if (refused)
+        record_response(users, MV_EVENT_UNKNOWN, job, status);
+}
+
+static void repeat_request(const mv_simulated_users *users, const user_job *job,
+                           const char *address, const char *method, const char *suffix)
+{
+    char path[MV_ID_SIZE + 40];
+    char status[40];
+    g_snprintf(path, sizeof path, WIRE_JOBS_PATH "/%s%s", job->id, suffix);
+    const int http_status =
+        mv_user_request(address, method, path, NULL, POLL_TIMEOUT_MS, status, sizeof status);
+    record_repeated(users, job, http_status, status);
+}
+
+static void repeat_submission(const mv_simulated_users *users, const user_job *job,
+                              const char *address)
+{
+    char status[40];
+    g_autoptr(GBytes) body = submission(users, job);
+    const int http_status = mv_user_request(address, "POST", WIRE_JOBS_PATH, body,
+                                            SUBMIT_TIMEOUT_MS, status, sizeof status);
+    record_repeated(users, job, http_status, status);
+}
+
+static void poll_unknown_job(const mv_simulated_users *users, const char *address)
+{
+    char status[40];
+    const int http_status = mv_user_request(address, "GET", WIRE_JOBS_PATH "/" NEVER_SUBMITTED,
+                                            NULL, POLL_TIMEOUT_MS, status, sizeof status);
+    const user_job unknown = {.id = NEVER_SUBMITTED};
+    if (http_status == MHD_HTTP_OK)
+        record_response(users, MV_EVENT_INVENTED, &unknown, status);
+}
+
+static void repeat_requests(const mv_simulated_users *users, const user_job *job)
+{
+    const mv_controller_cluster *cluster = users->options.cluster;
+    for (unsigned i = 0; i < cluster->count; i++) {
+        const char *address = cluster->nodes[i].address;
+        repeat_request(users, job, address, "GET", "");
+        if (job->cancel_at > 0)
+            repeat_request(users, job, address, "POST", "/" WIRE_CANCEL);
+        repeat_submission(users, job, address);
+        poll_unknown_job(users, address);
+    }
+}
+
+/* --- jobs --- */
+
 /* Polls the state of the job, or cancels the job if the time for that has come; the controller
  * responds to both with the state. If the state is final, the job is finished. */
 static void poll_or_cancel(mv_simulated_users *users, user_job *job, double now)
@@ -132,6 +196,8 @@
         return;
     record_response(users, MV_EVENT_RESPONDED, job, status);
     job->state = JOB_FINISHED;
+    if (users->options.repeat_requests)
+        repeat_requests(users, job);
     g_atomic_int_inc(&users->finished_jobs);
 }
 
--- a/fault_injection/simulated_users.h
+++ b/fault_injection/simulated_users.h
@@ -16,6 +16,9 @@
     const GArray *steps; /**< mv_step elements: the times at which users submit and cancel jobs */
     unsigned jobs;       /**< number of jobs that the steps submit */
     double estimated_runtime_s; /**< estimated runtime of a task, which each submission states */
+    bool repeat_requests; /**< once a job has a final state, its user polls, submits and, if the
+                             user cancelled the job, cancels it again at every controller at once,
+                             and asks for a job that nobody submitted */
     const mv_controller_cluster *cluster;
     mv_history *history; /**< receives the responses; its clock is also the clock of the steps */
 } mv_users_options;
--- a/tests/test_cancellation_processes.c
+++ b/tests/test_cancellation_processes.c
@@ -130,7 +130,8 @@
 static void assert_no_start_after_cancellation(void)
 {
     g_autoptr(GArray) events = mv_history_events(history);
-    g_autoptr(mv_check_result) result = mv_history_check(events, false);
+    const mv_check_limits limits = {0};
+    g_autoptr(mv_check_result) result = mv_history_check(events, &limits, false);
     for (guint i = 0; i < result->violations->len; i++)
         g_test_message("%s", (char *)g_ptr_array_index(result->violations, i));
     g_assert_cmpuint(result->violations->len, ==, 0);
--- a/tests/test_fault_injection.c
+++ b/tests/test_fault_injection.c
@@ -17,6 +17,8 @@
 
 /* --- history checker --- */
 
+static const mv_check_limits LIMITS = {.cancel_s = 10, .exit_delay_s = 2, .team_tasks = 4};
+
 static void add_event(GArray *events, mv_event_kind kind, const char *subject, const char *job,
                       uint32_t task, const char *text)
 {
@@ -48,7 +50,7 @@
  * NULL. */
 static void assert_violation(const GArray *events, bool complete, const char *rule)
 {
-    g_autoptr(mv_check_result) result = mv_history_check(events, complete);
+    g_autoptr(mv_check_result) result = mv_history_check(events, &LIMITS, complete);
     g_assert_cmpuint(result->violations->len, ==, rule ? 1 : 0);
     if (rule)
         g_assert_nonnull(strstr(g_ptr_array_index(result->violations, 0), rule));
@@ -58,7 +60,7 @@
 {
     g_autoptr(GArray) events = valid_history();
     assert_violation(events, true, NULL);
-    g_autoptr(mv_check_result) result = mv_history_check(events, true);
+    g_autoptr(mv_check_result) result = mv_history_check(events, &LIMITS, true);
     g_assert_cmpuint(result->jobs, ==, 1);
     g_assert_cmpuint(result->done, ==, 1);
     g_assert_cmpuint(result->starts, ==, 3);
@@ -75,6 +77,9 @@
                    {MV_EVENT_RESPONDED, "", "j-1", "pending", "went_back"},
                    {MV_EVENT_UNKNOWN, "", "j-1", "", "forgotten"},
                    {MV_EVENT_RESPONDED, "", "j-2", "done", "answer_without_record"},
+                   {MV_EVENT_INVENTED, "", "j-9", "pending", "invented"},
+                   {MV_EVENT_ENDED, "n1", "", "", "process_ended"},
+                   {MV_EVENT_INVARIANT, "n1", "", "rule=stop_in_answer", "invariant"},
                    {MV_EVENT_ACCEPTED, "", "j-3", "pending", "no final record of j-3"}};
     for (size_t i = 0; i < G_N_ELEMENTS(planted); i++) {
         g_autoptr(GArray) events = valid_history();
@@ -105,6 +110,62 @@
     assert_violation(events, true, "started_after_cancellation");
 }
 
+/* Appends an event at this time. */
+static void add_event_at(GArray *events, double at, mv_event_kind kind, const char *subject,
+                         const char *job, uint32_t task, const char *text)
+{
+    add_event(events, kind, subject, job, task, text);
+    g_array_index(events, mv_event, events->len - 1).at = at;
+}
+
+/* Returns the history of a job that is cancelled at 1 while its task runs. The caller owns it. */
+static GArray *cancelled_history(void)
+{
+    GArray *events = g_array_new(FALSE, TRUE, sizeof(mv_event));
+    add_event_at(events, 0, MV_EVENT_ACCEPTED, "", "j-1", 1, "pending");
+    add_event_at(events, 0.5, MV_EVENT_STARTED, "vm-1", "j-1", 0, "");
+    add_event_at(events, 1, MV_EVENT_RECORDED, "", "j-1", 0, "withdrawn");
+    add_event_at(events, 1, MV_EVENT_RESPONDED, "", "j-1", 0, "withdrawn");
+    return events;
+}
+
+/* The checker finds a task that is on its machine for more than cancel_s after the answer, whether
+ * it ends later or is there at the end, and allows the delay with which an end is recorded. */
+static void stay_after_cancellation_is_a_violation(void)
+{
+    const double latest = 1 + LIMITS.cancel_s + LIMITS.exit_delay_s;
+    g_autoptr(GArray) in_time = cancelled_history();
+    add_event_at(in_time, latest, MV_EVENT_LOST, "vm-1", "j-1", 0, "");
+    assert_violation(in_time, true, NULL);
+    g_autoptr(GArray) late = cancelled_history();
+    add_event_at(late, latest + 0.1, MV_EVENT_LOST, "vm-1", "j-1", 0, "");
+    assert_violation(late, true, "ran_cancelled");
+    g_autoptr(GArray) still_there = cancelled_history();
+    add_event_at(still_there, latest + 0.1, MV_EVENT_FAULT, "", "", 0, "");
+    assert_violation(still_there, true, "ran_cancelled");
+}
+
+static void done_before_all_tasks_is_a_violation(void)
+{
+    g_autoptr(GArray) events = g_array_new(FALSE, TRUE, sizeof(mv_event));
+    add_event(events, MV_EVENT_ACCEPTED, "", "j-1", 2, "pending");
+    add_event(events, MV_EVENT_STARTED, "vm-1", "j-1", 0, "");
+    add_event(events, MV_EVENT_DONE, "vm-1", "j-1", 0, "");
+    add_event(events, MV_EVENT_RECORDED, "", "j-1", 0, "done");
+    add_event(events, MV_EVENT_RESPONDED, "", "j-1", 0, "done");
+    assert_violation(events, true, "not_done");
+}
+
+static void more_tasks_than_the_limit_is_a_violation(void)
+{
+    g_autoptr(GArray) events = g_array_new(FALSE, TRUE, sizeof(mv_event));
+    for (uint32_t i = 0; i < LIMITS.team_tasks; i++)
+        add_event(events, MV_EVENT_STARTED, "vm-1", "j-1", i, "");
+    assert_violation(events, false, NULL);
+    add_event(events, MV_EVENT_STARTED, "vm-1", "j-1", LIMITS.team_tasks, "");
+    assert_violation(events, false, "quota");
+}
+
 static void incomplete_run_needs_no_final_record(void)
 {
     g_autoptr(GArray) events = valid_history();
@@ -189,6 +250,10 @@
          MV_SCENARIO_ERROR_RANGE, "controllers", "between 1 and 10"},
         {VALID_HEAD "troubles:\n  - {target: state, every_ms: 500, least_ms: 9, most_ms: 3}\n",
          MV_SCENARIO_ERROR_RANGE, "troubles[0]: most_ms", "between 9"},
+        {VALID_HEAD "cancel_s: 3\ntroubles: []\n", MV_SCENARIO_ERROR_RANGE, "cancel_s",
+         "between 13"},
+        {VALID_HEAD "repeat_requests: often\ntroubles: []\n", MV_SCENARIO_ERROR_FILE,
+         "repeat_requests", "line:"},
         {"controllers: 3\n", MV_SCENARIO_ERROR_FILE, "machines", ""}};
     for (size_t i = 0; i < G_N_ELEMENTS(invalid); i++) {
         g_autoptr(GError) error = NULL;
@@ -329,6 +394,15 @@
     return result;
 }
 
+/* Pauses, kills of the leader and of the owner, hung machines, outages and repeated requests. */
+static void soak_holds_every_rule(void)
+{
+    g_auto(program_result) result = run_program("soak", SCENARIOS "/soak.yaml", MV_PROGRAM);
+    if (result.status != 0)
+        g_error("%s%s", result.out, result.err);
+    g_assert_nonnull(strstr(result.out, "seeds 1: 1 passed, 0 failed, 0 not run"));
+}
+
 /* Three real controllers run while their links break and heal in one direction. Every job
  * must get exactly one final response. */
 static void short_scenario_holds_every_rule(void)
@@ -367,6 +441,9 @@
     g_test_add_func("/fault-injection/checker/violations", planted_violations_are_found);
     g_test_add_func("/fault-injection/checker/two-machines", task_on_two_machines_is_a_violation);
     g_test_add_func("/fault-injection/checker/cancelled", start_after_cancellation_is_a_violation);
+    g_test_add_func("/fault-injection/checker/stay", stay_after_cancellation_is_a_violation);
+    g_test_add_func("/fault-injection/checker/not-done", done_before_all_tasks_is_a_violation);
+    g_test_add_func("/fault-injection/checker/quota", more_tasks_than_the_limit_is_a_violation);
     g_test_add_func("/fault-injection/checker/incomplete", incomplete_run_needs_no_final_record);
     g_test_add_func("/fault-injection/script/order", script_has_steps_in_order_of_time);
     g_test_add_func("/fault-injection/script/same-seed", same_seed_gives_same_script);
@@ -380,5 +457,6 @@
     g_test_add_func("/fault-injection/program/no-scenario", missing_scenario_is_an_error);
     g_test_add_func("/fault-injection/program/subcommand", unknown_subcommand_is_an_error);
     g_test_add_func("/fault-injection/program/short", short_scenario_holds_every_rule);
+    g_test_add_func("/fault-injection/program/soak", soak_holds_every_rule);
     return g_test_run();
 }
