Leader: its record counts only under the session it is bound to, and fleet changes need a recent state cache

Cause: mv_membership_is_leader compared the cached record with the process, not with the session that the record is bound to, so a record of an earlier session counted under the new one until the next watch was answered; and nothing bounded the age of the cache on which the leader decides. A right outlived the knowledge that it rests on. Change: a controller leads only once a watch that was sent after its present session began has been answered (LEADER_SESSION); it rents and returns on a cache of at most 4.5 s, when it decides and right before the request (LEADER_CACHE); on one older than 10 s it removes its record, so that another controller leads. Why it works: the state service removes the record when the session ends, before a new one can be opened, so an answered watch of the new session shows it gone. The bound is longer than the longest watch, the interval before it and a slow response.

--- a/src/constants.h
+++ b/src/constants.h
@@ -192,6 +192,13 @@
  * timeout and the interval between watches are added.
  */
 #define MV_CACHE_LOST_AFTER_S 5.5
+/**
+ * The leader neither rents nor returns machines on a state cache older than this: the longest watch
+ * (MV_WATCH_LENGTH_MS), the longest interval before it, and a slow response.
+ */
+#define MV_LEADER_CACHE_AGE_MAX_S 4.5
+/** The leader gives its duty up if its state cache is older than this. */
+#define MV_LEADER_RESIGN_AFTER_S 10.0
 /**
  * After the response to a transaction, a controller waits this long for the state cache to show the
  * result: the cache lags by at most the longest interval between watches.
--- a/src/coordination/agents/lease_renewal.c
+++ b/src/coordination/agents/lease_renewal.c
@@ -43,9 +43,8 @@
 }
 
 /* Returns the first task that the answer must stop and does not; NULL: there is none. */
-static const mv_reported_task *find_missing_stop(const mv_agents *agents,
-                                                 const mv_heartbeat *heartbeat,
-                                                 const GArray *commands)
+static const mv_reported_task *
+find_missing_stop(const mv_agents *agents, const mv_heartbeat *heartbeat, const GArray *commands)
 {
     for (size_t i = 0; i < heartbeat->task_count; i++)
         if (lacks_stop(agents, &heartbeat->tasks[i], commands))
@@ -67,7 +66,8 @@
                    " shard=%u cache_age_s=%.2f tasks=%zu commands=%u",
                    task->job_id, task->task, machine->id, heartbeat->sequence,
                    mv_machine_fencing_token(machine), heartbeat->fencing_token,
-                   machine->shard->index, context->clock.now - context->session.caught_up_to,
+                   machine->shard->index,
+                   mv_lease_session_cache_age(&context->session, &context->clock),
                    heartbeat->task_count, commands->len);
     return false;
 }
--- a/src/coordination/autoscaling/reconciler.c
+++ b/src/coordination/autoscaling/reconciler.c
@@ -59,6 +59,8 @@
     mv_membership_forget_released(membership);
     mv_instance_requests_tick(autoscaler);
     reconcile_partitions(autoscaler);
+    if (!mv_membership_may_change_fleet(membership))
+        return;
     mv_planner_run(autoscaler);
     mv_scale_in_tick(autoscaler);
 }
--- a/src/coordination/controller/controller.c
+++ b/src/coordination/controller/controller.c
@@ -130,6 +130,8 @@
     mv_connectivity *connectivity = controller->launch_control.connectivity;
     mv_lease_session *session = &controller->context.session;
     mv_clock_advance(&controller->context.clock, now);
+    if (!session->open)
+        session->opened_at = sent;
     session->open = incarnation != 0;
     if (!session->open) {
         if (connectivity)
--- a/src/coordination/controller/heartbeats.c
+++ b/src/coordination/controller/heartbeats.c
@@ -163,8 +163,8 @@
         return SAFETY_CHECK(ACTION_VALID, command_is_valid(controller, action));
     bool is_leader_action =
         action->kind == MV_ACTION_SCALE_OUT || action->kind == MV_ACTION_SCALE_IN;
-    return SAFETY_CHECK(ACTION_VALID,
-                        !is_leader_action || mv_membership_is_leader(&controller->membership));
+    return SAFETY_CHECK(ACTION_VALID, !is_leader_action ||
+                                          mv_membership_may_change_fleet(&controller->membership));
 }
 
 void mv_controller_command_dropped(mv_controller *controller, double now, uint64_t id)
--- a/src/coordination/membership/election.c
+++ b/src/coordination/membership/election.c
@@ -1,6 +1,7 @@
 #include "coordination/membership/election.h"
 
 #include "protocol/names.h"
+#include "telemetry/log.h"
 
 #include <string.h>
 
@@ -83,8 +84,27 @@
     mv_transaction_slot_sent(slot, &context->clock, transaction);
 }
 
+/* Removes the leader's record if this process leads on a state cache that no watch has brought up
+ * to date for long, so that another controller becomes the leader. */
+static void resign_on_stale_cache(mv_membership *membership)
+{
+    mv_context *context = membership->context;
+    mv_transaction_slot *slot = &membership->leader_transaction;
+    const double age_s = mv_lease_session_cache_age(&context->session, &context->clock);
+    if (age_s <= MV_LEADER_RESIGN_AFTER_S || !mv_membership_is_leader(membership) ||
+        mv_transaction_slot_busy(slot, &context->clock))
+        return;
+    mv_action *transaction = mv_transaction_new(&context->actions, true);
+    mv_transaction_require(transaction, KEY_LEADER, membership->leader_revision);
+    mv_transaction_delete(transaction, KEY_LEADER);
+    mv_transaction_slot_sent(slot, &context->clock, transaction);
+    mv_log_limited(MV_LOG_INFO, "leadership_resigned",
+                   "term=%" G_GUINT64_FORMAT " cache_age_s=%.1f", membership->leader.term, age_s);
+}
+
 bool mv_election_tick(mv_membership *membership)
 {
+    resign_on_stale_cache(membership);
     announce(membership);
     if (!is_announced(membership))
         return false;
--- a/src/coordination/membership/membership.c
+++ b/src/coordination/membership/membership.c
@@ -37,10 +37,19 @@
     const mv_context *context = membership->context;
     const mv_lease_holder *leader = &membership->leader;
     return mv_lease_session_incarnation(&context->session, &context->clock) &&
+           SAFETY_CHECK(LEADER_SESSION, mv_lease_session_is_in_cache(&context->session)) &&
            membership->leader_revision && leader->incarnation == context->session.incarnation &&
            strcmp(leader->node, context->settings->node_name) == 0;
 }
 
+bool mv_membership_may_change_fleet(const mv_membership *membership)
+{
+    const mv_context *context = membership->context;
+    const double age_s = mv_lease_session_cache_age(&context->session, &context->clock);
+    return mv_membership_is_leader(membership) &&
+           SAFETY_CHECK(LEADER_CACHE, age_s <= MV_LEADER_CACHE_AGE_MAX_S);
+}
+
 bool mv_membership_update_leading(mv_membership *membership)
 {
     bool leads = mv_membership_is_leader(membership);
--- a/src/coordination/membership/membership.h
+++ b/src/coordination/membership/membership.h
@@ -67,8 +67,17 @@
 /** Frees the cache and the tables, but not `membership` itself. */
 void mv_membership_clear(mv_membership *membership);
 
-/** Returns whether this process is the leader and its lease session is certainly valid. */
+/**
+ * Returns whether this process is the leader and its lease session is certainly valid. The leader's
+ * record is bound to the session, so a record that the state cache read before the session began
+ * does not count.
+ */
 bool mv_membership_is_leader(const mv_membership *membership);
+/**
+ * Returns whether this process is the leader and its state cache is recent enough to decide which
+ * machines are needed: the state service does not check requests to the cloud.
+ */
+bool mv_membership_may_change_fleet(const mv_membership *membership);
 /** Updates whether this process is the leader at this tick, and returns whether that changed. */
 bool mv_membership_update_leading(mv_membership *membership);
 /** Returns whether the process that holds the lease is alive: its entry in the state cache has the
--- a/src/safety_checks.h
+++ b/src/safety_checks.h
@@ -94,6 +94,10 @@
     MV_CHECK_RECENT_HEARTBEAT,
     /** An isolated controller launches nothing. */
     MV_CHECK_LAUNCH_GATE,
+    /** A controller leads only under the session that its leader record is bound to. */
+    MV_CHECK_LEADER_SESSION,
+    /** The leader rents and returns machines only while its state cache is recent. */
+    MV_CHECK_LEADER_CACHE,
     /** Launches resume only after the links have been stable for the hold-down time. */
     MV_CHECK_HOLD_DOWN,
     /** The final record of a job is written only once. */
--- a/tests/test_network_partitions.c
+++ b/tests/test_network_partitions.c
@@ -179,6 +179,62 @@
     sim_assert_rules_hold(&plan, LATE_HEARTBEAT_SEED, 8);
 }
 
+/* The property test also found this fault: a leader whose watches alone failed returned machines on
+ * which another owner's tasks ran. */
+static const sim_cut STALE_LEADER[] = {{0, SIM_LINK_STATE, 5.0, 2.1},
+                                       {1, SIM_LINK_WATCHES, 19.9, 12.9},
+                                       {1, SIM_LINK_WORKERS, 21.1, 2.9}};
+#define STALE_LEADER_SEED 104380
+
+static sim_plan stale_leader_plan(void)
+{
+    sim_plan plan = own_isolation_plan();
+    plan.launch_gate = false;
+    plan.cuts = STALE_LEADER;
+    plan.cut_count = G_N_ELEMENTS(STALE_LEADER);
+    plan.shards = 3;
+    return plan;
+}
+
+static void stale_leader_returns_no_machine_at_work(void)
+{
+    sim_plan plan = stale_leader_plan();
+    sim_assert_rules_hold(&plan, STALE_LEADER_SEED, 1);
+    sim_assert_rules_hold(&plan, 74, 30);
+}
+
+/* The watches, the state store and the machines of single controllers fail at random. */
+static void random_cuts_return_no_machine_at_work(void)
+{
+    sim_plan plan = BASE;
+    plan.launch_gate = false;
+    plan.faults_end_at = 200;
+    plan.watches_lost = 12;
+    plan.worker_cut = 25;
+    plan.state_cut = 15;
+    sim_assert_rules_hold(&plan, 1, 119);
+}
+
+/* Each controller loses the state store for longer than its session, and its watches for longer
+ * still, so that it opens a new session before its state cache shows that it was replaced. */
+static const sim_cut REPLACED_LEADER[] = {{0, SIM_LINK_STATE, 20, 3}, {0, SIM_LINK_WATCHES, 20, 9},
+                                          {1, SIM_LINK_STATE, 45, 3}, {1, SIM_LINK_WATCHES, 45, 9},
+                                          {2, SIM_LINK_STATE, 70, 3}, {2, SIM_LINK_WATCHES, 70, 9}};
+
+static sim_plan replaced_leader_plan(void)
+{
+    sim_plan plan = stale_leader_plan();
+    plan.cuts = REPLACED_LEADER;
+    plan.cut_count = G_N_ELEMENTS(REPLACED_LEADER);
+    return plan;
+}
+
+static void replaced_leader_returns_no_machine_at_work(void)
+{
+    sim_plan plan = replaced_leader_plan();
+    sim_assert_rules_hold(&plan, 1, 30);
+}
+
 /* --- each safety check is needed --- */
 
 /* Asserts that with the check disabled at least one of the seeds 1 to 59 breaks the rule that the
@@ -211,9 +267,23 @@
 
 static void recent_heartbeat_check_is_needed(void)
 {
-    sim_plan plan = late_heartbeat_plan();
-    sim_assert_rule_breaks(MV_CHECK_RECENT_HEARTBEAT, &plan, "at work", LATE_HEARTBEAT_SEED,
-                           LATE_HEARTBEAT_SEED + 1);
+    sim_plan plan = BASE;
+    plan.worker_cut = 12;
+    sim_assert_rules_hold(&plan, 22, 1);
+    assert_check_is_needed(MV_CHECK_RECENT_HEARTBEAT, &plan, "at work");
+}
+
+static void leader_cache_check_is_needed(void)
+{
+    sim_plan plan = stale_leader_plan();
+    sim_assert_rule_breaks(MV_CHECK_LEADER_CACHE, &plan, "at work", STALE_LEADER_SEED,
+                           STALE_LEADER_SEED + 1);
+}
+
+static void leader_session_check_is_needed(void)
+{
+    sim_plan plan = replaced_leader_plan();
+    assert_check_is_needed(MV_CHECK_LEADER_SESSION, &plan, "at work");
 }
 
 static void final_record_check_is_needed(void)
@@ -250,5 +320,11 @@
     g_test_add_func("/network-partitions/check-hold-down", hold_down_check_is_needed);
     g_test_add_func("/network-partitions/check-own-isolation", own_isolation_check_is_needed);
     g_test_add_func("/network-partitions/check-final-record", final_record_check_is_needed);
+    g_test_add_func("/network-partitions/stale-leader", stale_leader_returns_no_machine_at_work);
+    g_test_add_func("/network-partitions/replaced-leader",
+                    replaced_leader_returns_no_machine_at_work);
+    g_test_add_func("/network-partitions/random-cuts", random_cuts_return_no_machine_at_work);
+    g_test_add_func("/network-partitions/check-leader-cache", leader_cache_check_is_needed);
+    g_test_add_func("/network-partitions/check-leader-session", leader_session_check_is_needed);
     return g_test_run();
 }
