Fault injection: held watches, late transactions and image fetches in the soak

Change: targets watches and late_writes, field fetch_ms; a task starts in the history when its machine has the image. A machine reports a task that fetches or saves as such: it reported "running", so an owner acknowledged a cancellation of a task that a hung machine had yet to start. That was a fault of the stand-in, not of the service.

--- a/fault_injection/agent_codec.c
+++ b/fault_injection/agent_codec.c
@@ -50,13 +50,14 @@
 {
     static const char *const EXIT_REASONS[] = {
         "", WIRE_DONE, WIRE_STOPPED, WIRE_ERROR, WIRE_NO_RESOURCES, WIRE_DUPLICATE, WIRE_UNKNOWN};
+    static const char *const PHASES[] = {WIRE_FETCHING_IMAGE, WIRE_RUNNING, WIRE_SAVING,
+                                         WIRE_EXITED};
     char name[TASK_NAME_SIZE];
     g_snprintf(name, sizeof name, "%s/%u", task->job_id, task->task);
     mv_write_map(writer, 4);
     mv_write_text_field(writer, WIRE_TASK, name);
     mv_write_u64_field(writer, WIRE_ATTEMPT, task->attempt);
-    mv_write_text_field(writer, WIRE_STATUS,
-                        task->phase == MV_TASK_EXITED ? WIRE_EXITED : WIRE_RUNNING);
+    mv_write_text_field(writer, WIRE_STATUS, PHASES[task->phase]);
     mv_write_text_field(writer, WIRE_EXIT_REASON, EXIT_REASONS[task->exit_reason]);
 }
 
--- a/fault_injection/environment.c
+++ b/fault_injection/environment.c
@@ -20,6 +20,7 @@
 {
     mv_environment *environment = g_new0(mv_environment, 1);
     environment->machine_options = (mv_machine_options){.run_s = options->run_s,
+                                                        .fetch_s = options->fetch_s,
                                                         .lease_s = options->lease_s,
                                                         .heartbeat_ms = options->heartbeat_ms,
                                                         .history = options->history};
@@ -83,6 +84,16 @@
     mv_cloud_server_set_heartbeats_lost(environment->cloud, machine, lost);
 }
 
+void mv_environment_hold_watches(mv_environment *environment, bool held)
+{
+    mv_state_store_server_hold_watches(environment->state, held);
+}
+
+void mv_environment_delay_transactions(mv_environment *environment, bool late)
+{
+    mv_state_store_server_delay_transactions(environment->state, late);
+}
+
 /* Returns the number in the name of a controller, "n" and digits, or `fallback`. */
 static unsigned parse_holder(GBytes *data, unsigned fallback)
 {
--- a/fault_injection/environment.h
+++ b/fault_injection/environment.h
@@ -20,6 +20,7 @@
 typedef struct {
     unsigned machines;     /**< number of machines that the cloud can provide */
     double run_s;          /**< runtime of each task */
+    double fetch_s;        /**< time in which a machine fetches the image of a task */
     double lease_s;        /**< lease of a machine */
     unsigned heartbeat_ms; /**< pause between two heartbeats of a machine */
     bool deletes_machines; /**< the cloud deletes machines on request; false: it keeps them */
@@ -64,6 +65,12 @@
  * mv_environment_set_command_link. */
 void mv_environment_set_heartbeats_lost(mv_environment *environment, unsigned machine, bool lost);
 
+/** Holds the watches of all controllers at the state service, or lets them go. */
+void mv_environment_hold_watches(mv_environment *environment, bool held);
+
+/** Lets the state service apply transactions after their senders have given up. */
+void mv_environment_delay_transactions(mv_environment *environment, bool late);
+
 /** Returns the number of the controller that a lease record names, such as the leader's record or
  * the record of a shard, or `fallback` if there is no such record. */
 unsigned mv_environment_lease_holder(mv_environment *environment, const char *key,
--- a/fault_injection/scenario.h
+++ b/fault_injection/scenario.h
@@ -19,6 +19,8 @@
     MV_FAULT_OWNER,      /**< the same, for the owner of the first shard */
     MV_FAULT_PAUSE,      /**< a controller's process: stopped, and continued at the fault's end */
     MV_FAULT_ALL_STATE_LINKS,    /**< the links from all controllers to the state service */
+    MV_FAULT_WATCHES,            /**< the watches of all controllers: they get no answer */
+    MV_FAULT_LATE_TRANSACTIONS,  /**< transactions: applied after their sender has given up */
     MV_FAULT_CLOUD,              /**< the cloud: refuses every request */
     MV_FAULT_MACHINE,            /**< a machine: hangs, and continues at the fault's end */
     MV_FAULT_MACHINE_HEARTBEATS, /**< the link on which a machine sends its heartbeats */
@@ -54,6 +56,7 @@
     unsigned max_tasks;       /**< largest number of tasks of a job */
     unsigned run_ms;          /**< runtime of each task */
     unsigned cancel_percent;  /**< percentage of the jobs that users cancel */
+    unsigned fetch_ms;        /**< time in which a machine fetches the image of a task */
     unsigned cancel_s;        /**< settings.workers.cancel_s of the controllers */
     unsigned team_cores;      /**< limit of the users' team */
     unsigned shards;          /**< operator setting of the same name; 0: its default */
--- a/fault_injection/scenario_runner.c
+++ b/fault_injection/scenario_runner.c
@@ -99,6 +99,12 @@
     case MV_FAULT_MACHINE_HEARTBEATS:
         mv_environment_set_heartbeats_lost(run->environment, step->target_index, begins);
         break;
+    case MV_FAULT_WATCHES:
+        mv_environment_hold_watches(run->environment, begins);
+        break;
+    case MV_FAULT_LATE_TRANSACTIONS:
+        mv_environment_delay_transactions(run->environment, begins);
+        break;
     case MV_FAULT_CLOUD:
         mv_environment_set_cloud_down(run->environment, begins);
         break;
@@ -257,6 +263,7 @@
 {
     const mv_environment_options options = {.machines = run->scenario->machines,
                                             .run_s = run->scenario->run_ms / 1000.0,
+                                            .fetch_s = run->scenario->fetch_ms / 1000.0,
                                             .lease_s = LEASE_S,
                                             .heartbeat_ms = MACHINE_HEARTBEAT_MS,
                                             .deletes_machines = true,
--- a/fault_injection/simulated_machine.c
+++ b/fault_injection/simulated_machine.c
@@ -90,16 +90,25 @@
                      task);
 }
 
-/* Records in the history which tasks have started, exited or vanished since the previous call. */
+/* Records in the history which tasks have started, exited or vanished since the previous call. A
+ * task starts when the machine has its image; one that is stopped before never starts. */
 static void record_changes(mv_simulated_machine *machine)
 {
     if (!machine->options->history)
         return;
+    const double now = mv_steady_now_s();
     g_hash_table_foreach_remove(machine->recorded, record_if_gone, machine);
     for (guint i = 0; i < machine->worker->tasks->len; i++) {
         const fake_task *task = g_ptr_array_index(machine->worker->tasks, i);
         char *key = task_key(task);
-        record_task(machine, g_hash_table_lookup(machine->recorded, key), task);
+        const fake_task *before = g_hash_table_lookup(machine->recorded, key);
+        const bool has_image = now >= task->fetched_at;
+        if (!before && !has_image && task->status != FAKE_TASK_EXITED) {
+            g_free(key);
+            continue;
+        }
+        if (before || has_image)
+            record_task(machine, before, task);
         g_hash_table_replace(machine->recorded, key, g_memdup2(task, sizeof *task));
     }
 }
@@ -124,8 +133,11 @@
     const mv_machine_options *options = context;
     (void)job;
     (void)task;
-    return (fake_task_spec){
-        .cores = TASK_CORES, .ram_gb = TASK_RAM_GB, .run_s = options->run_s, .known = true};
+    return (fake_task_spec){.cores = TASK_CORES,
+                            .ram_gb = TASK_RAM_GB,
+                            .run_s = options->run_s,
+                            .fetch_s = options->fetch_s,
+                            .known = true};
 }
 
 static void write_heartbeat(mv_writer *writer, fake_worker *worker)
--- a/fault_injection/simulated_machine.h
+++ b/fault_injection/simulated_machine.h
@@ -20,6 +20,7 @@
 /** The options that all machines share. They must not change while a machine exists. */
 typedef struct {
     double run_s;          /**< runtime of each task */
+    double fetch_s;        /**< time in which a machine fetches the image of a task */
     double lease_s;        /**< lease of a machine; the machine drops its tasks on expiry */
     unsigned heartbeat_ms; /**< pause between two heartbeats of a machine */
     mv_history *history;   /**< receives the machine's events; NULL: they are not recorded */
--- a/fault_injection/state_store_server.c
+++ b/fault_injection/state_store_server.c
@@ -15,12 +15,13 @@
 #define LIST_PAGE_ITEMS 5  /* few records in a page, so that controllers must request more pages */
 #define WATCH_POLL_US 5000 /* interval at which a waiting watch checks for changes */
 #define MS_PER_S 1000
+#define TRANSACTION_DELAY_S 2.5 /* of a late transaction; longer than a controller waits */
 
 struct mv_state_store_server {
     pthread_mutex_t lock; /* guards all fields below except `server` */
     fake_state_store *store;
     mv_history *history;
-    bool stopping;
+    bool stopping, watches_held, transactions_late;
     unsigned refuse_every, transactions, refused_transactions;
     mv_loopback_server *server;
 };
@@ -82,11 +83,13 @@
 
 /* --- watches --- */
 
-/* Blocks until the store has a revision above `after`, the time is `until`, or the server stops.
- * The caller holds the lock; the function releases the lock while it waits. */
+/* Blocks until the store has a revision above `after`, the time is `until`, or the server stops,
+ * and for as long as watches are held. The caller holds the lock; the function releases the lock
+ * while it waits. */
 static void wait_for_change(mv_state_store_server *server, uint64_t after, double until)
 {
-    while (server->store->revision <= after && mv_steady_now_s() < until && !server->stopping) {
+    while (!server->stopping && (server->watches_held ||
+                                 (server->store->revision <= after && mv_steady_now_s() < until))) {
         pthread_mutex_unlock(&server->lock);
         g_usleep(WATCH_POLL_US);
         pthread_mutex_lock(&server->lock);
@@ -226,10 +229,23 @@
     return true;
 }
 
+/* Waits with a late transaction. The caller holds the lock; the function releases it meanwhile. */
+static void wait_if_late(mv_state_store_server *server)
+{
+    const double until = mv_steady_now_s() + TRANSACTION_DELAY_S;
+    while (server->transactions_late && mv_steady_now_s() < until && !server->stopping) {
+        pthread_mutex_unlock(&server->lock);
+        g_usleep(WATCH_POLL_US);
+        pthread_mutex_lock(&server->lock);
+    }
+    fake_state_store_expire(server->store, mv_steady_now_s());
+}
+
 static int commit(mv_state_store_server *server, const msgpack_object *body)
 {
     if (is_above_rate_limit(server))
         return MHD_HTTP_TOO_MANY_REQUESTS;
+    wait_if_late(server);
     uint64_t lease_id = 0;
     g_autoptr(GArray) preconditions = read_preconditions(body);
     g_autoptr(GArray) writes = read_writes(body, &lease_id);
@@ -315,6 +331,20 @@
     return refused;
 }
 
+void mv_state_store_server_hold_watches(mv_state_store_server *server, bool held)
+{
+    pthread_mutex_lock(&server->lock);
+    server->watches_held = held;
+    pthread_mutex_unlock(&server->lock);
+}
+
+void mv_state_store_server_delay_transactions(mv_state_store_server *server, bool late)
+{
+    pthread_mutex_lock(&server->lock);
+    server->transactions_late = late;
+    pthread_mutex_unlock(&server->lock);
+}
+
 fake_state_store *mv_state_store_server_lock(mv_state_store_server *server)
 {
     pthread_mutex_lock(&server->lock);
--- a/fault_injection/state_store_server.h
+++ b/fault_injection/state_store_server.h
@@ -22,6 +22,12 @@
 /** Returns the number of transactions that the server refused as above the rate limit. */
 unsigned mv_state_store_server_refused(mv_state_store_server *server);
 
+/** Holds all watches: they get no answer, and answer with every change when they are let go. */
+void mv_state_store_server_hold_watches(mv_state_store_server *server, bool held);
+
+/** Lets transactions be applied late: their senders have given up by then. */
+void mv_state_store_server_delay_transactions(mv_state_store_server *server, bool late);
+
 /** Locks the server and returns its store. Only the caller may use the store until
  * mv_state_store_server_unlock. */
 fake_state_store *mv_state_store_server_lock(mv_state_store_server *server);
--- a/tests/disabled_check.c
+++ b/tests/disabled_check.c
@@ -4,6 +4,10 @@
  */
 #include "coordination/scheduling/binding.h"
 
+#ifndef MV_DISABLED_CHECK
+#define MV_DISABLED_CHECK MV_CHECK_NONE
+#endif
+
 mv_safety_check mv_disabled_check = MV_DISABLED_CHECK;
 
 void mv_binding_observed(const mv_scheduler *scheduler, mv_job *job, const mv_machine *machine)
