Copies of executed commands in the simulation: a cleared task starts again, failing

Seen by the operators: a task stood on two machines at once. A direct command with its launch had been executed and answered; the task failed, was cleared and placed elsewhere; then a copy of the command arrived, under the token and agent epoch that still held, and the machine, which knew nothing of the attempt any more, started it once more. The simulation only delayed commands that got no answer. Now a share of the executed commands with a launch arrives once more: at a random time up to 150 s later, and right after the events at which a copy does most harm (the attempt is forgotten, the task runs elsewhere, its job is cancelled, or was cancel_s ago, a controller starts, the machine hangs). A machine that gets the launch of a completed task only fetches the image and exits as done, as the protocol says; otherwise the counts of broken rules would be false.

--- a/fault_injection/fake_worker.c
+++ b/fault_injection/fake_worker.c
@@ -151,6 +151,13 @@
     return MV_EXIT_NONE;
 }
 
+static double run_time(const fake_task_spec *spec)
+{
+    if (spec->completed)
+        return 0;
+    return spec->fails ? FAILING_TASK_RUN_S : spec->run_s;
+}
+
 /* Launches a task unless the worker already has this attempt. If the worker refuses the launch, the
  * task is listed as exited, with the reason, until a controller clears the task. */
 static void launch(fake_worker *worker, const mv_command *command, double now,
@@ -170,10 +177,11 @@
     task->exit_reason = launch_refusal(worker, command, &spec);
     if (task->exit_reason == MV_EXIT_NONE) {
         task->status = FAKE_TASK_RUNNING;
-        task->exit_reason = spec.fails ? MV_EXIT_ERROR : MV_EXIT_NONE;
+        task->exit_reason = spec.fails && !spec.completed ? MV_EXIT_ERROR : MV_EXIT_NONE;
+        task->never_runs = spec.completed;
         task->started_at = now;
         task->fetched_at = now + spec.fetch_s;
-        task->ends_at = task->fetched_at + (spec.fails ? FAILING_TASK_RUN_S : spec.run_s);
+        task->ends_at = task->fetched_at + run_time(&spec);
     }
     g_ptr_array_add(worker->tasks, task);
     worker->changed = true;
--- a/fault_injection/fake_worker.h
+++ b/fault_injection/fake_worker.h
@@ -28,8 +28,10 @@
     double fetched_at; /**< time at which the worker has the task's image and the task runs */
     double ends_at;    /**< end of the run, or of the saving that a stop command began */
     double cores, ram_gb;
-    double save_s; /**< time that a stopped task needs to save its state; 0: no saving */
-    bool saving;   /**< the task saves after a stop command and still counts as running */
+    double save_s;   /**< time that a stopped task needs to save its state; 0: no saving */
+    bool saving;     /**< the task saves after a stop command and still counts as running */
+    bool never_runs; /**< the task had been completed before its launch, so it only fetches its
+                        image */
 } fake_task;
 
 /** A worker on one machine. A time is 0 if its event or fault does not occur. */
@@ -63,6 +65,8 @@
     double fetch_s; /**< time that the worker needs to fetch the task's image */
     bool known;     /**< false: the task is unknown, and the worker refuses the launch */
     bool fails;     /**< true: the task exits with an error soon after its start */
+    bool completed; /**< true: a worker has completed the task and its result is kept, so the task
+                       exits as done as soon as the worker has its image */
 } fake_task_spec;
 
 /** Returns the properties of a task that a worker has to launch. */
--- a/tests/sim_internal.h
+++ b/tests/sim_internal.h
@@ -160,6 +160,8 @@
     GHashTable *instance_requests; /* name of a request -> GPtrArray of machine names */
     double cloud_outage_until;
     GPtrArray *held_heartbeats; /* mv_heartbeat, duplicates for the next leader */
+    GPtrArray *held_copies;     /* copies of commands that wait for an event */
+    double copies_checked_at;   /* when the held copies were last checked for their events */
     double zone_cut_until;      /* half of the machines and one controller reach only each other */
     guint zone_node;            /* index of the controller inside the cut zone */
 
@@ -308,6 +310,17 @@
 /** Frees an mv_heartbeat on the heap; a GDestroyNotify. */
 void sim_heartbeat_free(gpointer heartbeat);
 
+/* --- sim_command_copies.c --- */
+
+/** Decides whether a copy of a direct command that the machine has executed arrives later. */
+void sim_draw_command_copies(sim *simulation, const fake_worker *worker, const mv_action *action);
+/** Delivers the held copies whose event has occurred. */
+void sim_release_command_copies(sim *simulation);
+/** Delivers the copies that are held for the start of a controller's process. */
+void sim_release_copies_at_start(sim *simulation);
+/** Frees a held copy; a GDestroyNotify. */
+void sim_command_copy_free(gpointer copy);
+
 /* --- sim_links.c: links of controllers, messages between peers --- */
 
 /** Returns whether requests of the controller reach the state store. */
--- a/tests/sim_invariants.c
+++ b/tests/sim_invariants.c
@@ -119,6 +119,8 @@
             check_exited_task(simulation, job, task);
             continue;
         }
+        if (task->never_runs)
+            continue;
         check_launch_target(simulation, worker, task);
         if (!g_hash_table_add(running, g_strdup_printf("%s/%u", task->job_id, task->task)))
             sim_violation(simulation, "ran_twice %s/%u", task->job_id, task->task);
--- a/tests/sim_jobs.c
+++ b/tests/sim_jobs.c
@@ -29,6 +29,7 @@
     spec.fetch_s = simulation->plan->image_fetch_s;
     if (!job->service && simulation->plan->uneven_runtimes > 0 && task == 0)
         spec.run_s *= simulation->plan->uneven_runtimes;
+    spec.completed = !job->service && job->completed[task];
     if (job->checkpoints)
         spec.save_s = sim_profile(simulation->plan)->checkpoint_cost_s;
     return spec;
--- a/tests/sim_processes.c
+++ b/tests/sim_processes.c
@@ -135,6 +135,7 @@
     probe_emulate_format_1(node->controller, node->emulates_format_1);
     node->running = true;
     node->process_generation++;
+    sim_release_copies_at_start(simulation);
     node->incarnation = node->lease_id = 0;
     node->has_session = node->is_listed = node->is_relisting = false;
     node->last_listed_key[0] = 0;
--- a/tests/sim_run.c
+++ b/tests/sim_run.c
@@ -156,6 +156,7 @@
     simulation->state = fake_state_store_new();
     simulation->workers = g_ptr_array_new_with_free_func(fake_worker_free);
     simulation->held_heartbeats = g_ptr_array_new_with_free_func(sim_heartbeat_free);
+    simulation->held_copies = g_ptr_array_new_with_free_func(sim_command_copy_free);
     simulation->instance_requests =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
     simulation->final_records = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -196,6 +197,7 @@
     g_hash_table_unref(simulation->final_records);
     g_ptr_array_unref(simulation->workers);
     g_ptr_array_unref(simulation->held_heartbeats);
+    g_ptr_array_unref(simulation->held_copies);
     fake_state_store_free(simulation->state);
     g_rand_free(simulation->random);
 }
@@ -210,6 +212,7 @@
            simulation.now < plan->faults_end_at + plan->deadline_at) {
         run_next_event(&simulation);
         sim_check_rules(&simulation);
+        sim_release_command_copies(&simulation);
         if (simulation.now <= last_liveness_check + LIVENESS_CHECK_INTERVAL_S)
             continue;
         last_liveness_check = simulation.now;
--- a/tests/sim_workers.c
+++ b/tests/sim_workers.c
@@ -124,6 +124,8 @@
     request->status =
         fake_worker_receive_command(worker, action->fencing_token, action->agent_epoch,
                                     action->commands, simulation->now, sim_task_spec, simulation);
+    if (request->status == SIM_HTTP_OK)
+        sim_draw_command_copies(simulation, worker, action);
     fake_worker_heartbeat(worker, simulation->now, &request->heartbeat);
     request->has_heartbeat = !sim_chance(simulation, simulation->plan->message_loss);
     if (request->has_heartbeat) {
