Logs: starts, exits, clears and answers to commands, by attempt, token and command

Seen in the incident: the controllers' logs of the minute in which a task stood on two machines say nothing of its start, its exit, its clear and its second placement. Change: launch_sent, stop_sent and clear_sent name the attempt, the token and epoch of the message, and the direct command that carried it; command_completed has the same number and what the agent reported; task_placed and task_ended have the attempt; watch_answered has the revision that the cache reached. All at debug and built only at that level. A failed attempt is logged at info, limited (task_failed). No decision changes.

--- a/src/coordination/agents/command_list.c
+++ b/src/coordination/agents/command_list.c
@@ -1,5 +1,7 @@
 #include "coordination/agents/command_list.h"
 
+#include "telemetry/log.h"
+
 GArray *mv_command_list_new(void)
 {
     return g_array_new(FALSE, TRUE, sizeof(mv_command));
@@ -37,6 +39,24 @@
     mv_command_append(commands, MV_COMMAND_STOP, &task, saves ? job->spec.checkpoint_cost_s : 0);
 }
 
+void mv_command_list_log(const GArray *commands, const mv_machine *machine, uint64_t fencing_token,
+                         uint64_t command_id)
+{
+    static const char *const events[] = {[MV_COMMAND_LAUNCH] = "launch_sent",
+                                         [MV_COMMAND_STOP] = "stop_sent",
+                                         [MV_COMMAND_CLEAR] = "clear_sent"};
+    if (mv_log_current() < MV_LOG_DEBUG)
+        return;
+    for (guint i = 0; i < commands->len; i++) {
+        const mv_command *command = &g_array_index(commands, mv_command, i);
+        mv_debug(events[command->kind],
+                 "task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s token=%" G_GUINT64_FORMAT
+                 " epoch=%" G_GUINT64_FORMAT " command=%" G_GUINT64_FORMAT,
+                 command->job_id, command->task, command->attempt, machine->id, fencing_token,
+                 machine->agent_epoch, command_id);
+    }
+}
+
 char *mv_attempt_key(const char *job_id, uint32_t task, uint64_t attempt)
 {
     return g_strdup_printf("%s/%u/%" G_GUINT64_FORMAT, job_id, task, attempt);
--- a/src/coordination/agents/command_list.h
+++ b/src/coordination/agents/command_list.h
@@ -19,6 +19,12 @@
  * save, unless the placement says to skip the checkpoint.
  */
 void mv_command_append_stop(GArray *commands, const mv_placement *placement);
+/**
+ * Logs each command at the level debug: the attempt, the fencing token and the agent epoch of the
+ * message, and the number of the direct command that carries it (0: the answer to a heartbeat).
+ */
+void mv_command_list_log(const GArray *commands, const mv_machine *machine, uint64_t fencing_token,
+                         uint64_t command_id);
 /** Returns the key that identifies an attempt of a task; the caller frees it with g_free. */
 char *mv_attempt_key(const char *job_id, uint32_t task, uint64_t attempt);
 #endif
--- a/src/coordination/agents/command_queue.c
+++ b/src/coordination/agents/command_queue.c
@@ -53,6 +53,7 @@
     action->timeout_ms = command_timeout_ms(machine, commands);
     action->commands = commands;
     mark_launches_in_flight(context, machine, commands);
+    mv_command_list_log(commands, machine, action->fencing_token, action->id);
     machine->command_id = action->id;
     machine->command_sent_at = context->clock.now;
     g_hash_table_insert(agents->commands_in_flight, &machine->command_id, machine);
--- a/src/coordination/agents/heartbeat.c
+++ b/src/coordination/agents/heartbeat.c
@@ -113,8 +113,11 @@
     if (index < 0)
         return;
     const mv_placement *placement = g_ptr_array_index(machine->placements, (guint)index);
-    mv_debug("replica_ended", "task=%s/%u machine=%s exit_reason=%d", task->job_id, task->task,
-             machine->id, task->exit_reason);
+    mv_debug("replica_ended",
+             "task=%s/%u attempt=%" G_GUINT64_FORMAT
+             " machine=%s exit_reason=%d token=%" G_GUINT64_FORMAT,
+             task->job_id, task->task, task->attempt, machine->id, task->exit_reason,
+             mv_machine_fencing_token(machine));
     replica_exited(agents, machine, job, placement, task->exit_reason);
     mv_placement_remove(agents, machine, (guint)index, true);
 }
@@ -137,16 +140,29 @@
     mv_job_task_completed(agents->jobs, job, task->task);
 }
 
+static void record_failure(mv_agents *agents, mv_machine *machine, mv_job *job,
+                           const mv_reported_task *task)
+{
+    mv_machine_record_failure(agents, machine, job);
+    mv_log_limited(MV_LOG_INFO, "task_failed",
+                   "task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s token=%" G_GUINT64_FORMAT,
+                   task->job_id, task->task, task->attempt, machine->id,
+                   mv_machine_fencing_token(machine));
+}
+
 static void reconcile_failed_task(mv_agents *agents, mv_machine *machine, mv_job *job,
                                   const mv_reported_task *task, int index)
 {
     const mv_context *context = agents->context;
     if (index < 0)
         return;
-    mv_debug("task_ended", "task=%s/%u machine=%s exit_reason=%d", task->job_id, task->task,
-             machine->id, task->exit_reason);
+    mv_debug("task_ended",
+             "task=%s/%u attempt=%" G_GUINT64_FORMAT
+             " machine=%s exit_reason=%d token=%" G_GUINT64_FORMAT,
+             task->job_id, task->task, task->attempt, machine->id, task->exit_reason,
+             mv_machine_fencing_token(machine));
     if (task->exit_reason == MV_EXIT_ERROR)
-        mv_machine_record_failure(agents, machine, job);
+        record_failure(agents, machine, job, task);
     else if (task->exit_reason != MV_EXIT_STOPPED)
         machine->launches_paused_until = context->clock.now + MV_LAUNCH_REFUSED_BACKOFF_S;
     mv_placement_remove(agents, machine, (guint)index, true);
--- a/src/coordination/controller/heartbeats.c
+++ b/src/coordination/controller/heartbeats.c
@@ -113,8 +113,10 @@
     }
     forget_launches_in_responses(machine);
     mv_heartbeat_apply(&controller->agents, machine, heartbeat, order, response->commands);
-    if (complete_answer(controller, machine, heartbeat, response))
+    if (complete_answer(controller, machine, heartbeat, response)) {
         machine->lease_renewed_at = context->clock.now;
+        mv_command_list_log(response->commands, machine, response->fencing_token, 0);
+    }
     mv_controller_run_due_work(controller);
 }
 
--- a/src/coordination/scheduling/binding.c
+++ b/src/coordination/scheduling/binding.c
@@ -141,9 +141,10 @@
     scheduler->next_in_rotation = machine->rotation_index + 1;
     job->last_placed_at = context->clock.now;
     context->counters.placed++;
-    mv_debug("task_placed", "task=%s/%u machine=%s waited_s=%.2f cached=%d", job->spec.id,
-             placement->task, machine->id, context->clock.now - job->ready_at,
-             mv_machine_has_image(machine, job->image));
+    mv_debug("task_placed",
+             "task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s waited_s=%.2f cached=%d",
+             job->spec.id, placement->task, placement->attempt, machine->id,
+             context->clock.now - job->ready_at, mv_machine_has_image(machine, job->image));
 }
 
 /* Returns whether the job's tasks wait instead of starting on `best`. If `best` would have to fetch
--- a/src/server/command_executor.c
+++ b/src/server/command_executor.c
@@ -39,16 +39,30 @@
     g_free(executor);
 }
 
+static void log_outcome(const mv_action *command, int status, const mv_heartbeat *heartbeat,
+                        double took_s)
+{
+    mv_debug("command_completed",
+             "machine=%s command=%" G_GUINT64_FORMAT
+             " status=%d commands=%u took_s=%.3f token=%" G_GUINT64_FORMAT
+             " epoch=%" G_GUINT64_FORMAT " sequence=%" G_GUINT64_FORMAT
+             " reported_token=%" G_GUINT64_FORMAT,
+             command->machine, command->id, status, command->commands->len, took_s,
+             command->fencing_token, command->agent_epoch, heartbeat->sequence,
+             heartbeat->fencing_token);
+}
+
 /* Reports the outcome of a command to the controller, with the agent's heartbeat if the response
  * holds a heartbeat. */
 static void command_completed(mv_command_executor *executor, const mv_action *command,
-                              const mv_http_result *result)
+                              const mv_http_result *result, double took_s)
 {
     gsize size;
     const void *body = g_bytes_get_data(result->body, &size);
     g_autoptr(mv_document) document = result->status ? mv_document_parse(body, size) : NULL;
     mv_heartbeat heartbeat = {0};
     const bool parsed = document && mv_heartbeat_parse(mv_document_root(document), &heartbeat);
+    log_outcome(command, result->status, &heartbeat, took_s);
     double now;
     mv_controller *controller = mv_shared_controller_lock(executor->controller, &now);
     mv_controller_command_completed(controller, now, command->id, result->status,
@@ -67,9 +81,7 @@
     const double took_s = mv_monotonic_now() - started;
     mv_metrics_record_latency(MV_LATENCY_COMMAND, took_s);
     mv_metrics_record_status(MV_LATENCY_COMMAND, result.status);
-    mv_debug("command_completed", "machine=%s status=%d commands=%u took_s=%.3f", command->machine,
-             result.status, command->commands->len, took_s);
-    command_completed(executor, command, &result);
+    command_completed(executor, command, &result, took_s);
     mv_http_result_clear(&result);
 }
 
--- a/src/server/state_watch.c
+++ b/src/server/state_watch.c
@@ -5,6 +5,7 @@
 
 #include "server/clocks.h"
 #include "server/revision_history.h"
+#include "telemetry/log.h"
 
 #define SESSION_POLLS_PER_RETRY 4 /* polls for the first session in MV_SESSION_RETRY_S */
 #define MILLISECONDS_PER_SECOND 1000.0
@@ -177,6 +178,8 @@
     mv_revision_history_add(&watch->history, now, watch->store_revision);
     pthread_cond_broadcast(&watch->caught_up);
     mv_shared_controller_unlock(watch->controller);
+    mv_debug("watch_answered", "revision=%" G_GUINT64_FORMAT " took_s=%.3f", watch->store_revision,
+             now - sent);
 }
 
 /* Lists all records if a listing is due; otherwise waits for changes to the records. A listing is
--- a/tests/test_late_commands.c
+++ b/tests/test_late_commands.c
@@ -1,7 +1,7 @@
 /**
- * Seeded simulations in which machines get copies of direct commands that they executed and answered
- * before: at random times up to minutes later, and right after the events at which a copy does most
- * harm. All rules are checked after each step.
+ * Seeded simulations in which machines get copies of direct commands that they executed and
+ * answered before: at random times up to minutes later, and right after the events at which a copy
+ * does most harm. All rules are checked after each step.
  */
 #include "sim_assert.h"
 
