--- a/fault_injection/fake_worker.c
+++ b/fault_injection/fake_worker.c
@@ -44,6 +44,19 @@
     end_agent_epoch(worker, now);
 }
 
+void fake_worker_restart_in_epoch(fake_worker *worker)
+{
+    worker->changed = true;
+    g_ptr_array_set_size(worker->tasks, 0);
+}
+
+void fake_worker_restart_anew(fake_worker *worker, double now)
+{
+    end_agent_epoch(worker, now);
+    worker->agent_epoch = 1;
+    worker->sequence = worker->fencing_token = 0;
+}
+
 static void end_finished_tasks(fake_worker *worker, double now)
 {
     for (guint i = 0; i < worker->tasks->len; i++) {
--- a/fault_injection/fake_worker.h
+++ b/fault_injection/fake_worker.h
@@ -101,6 +101,14 @@
  * begins a new agent epoch. */
 void fake_worker_restart(fake_worker *worker, double now);
 
+/** Restarts the machine without downtime within the agent epoch. The worker drops all tasks; epoch,
+ * sequence and fencing token go on. */
+void fake_worker_restart_in_epoch(fake_worker *worker);
+
+/** Restarts the machine without downtime as if it were new. The worker drops all tasks, and epoch,
+ * sequence and fencing token begin anew. */
+void fake_worker_restart_anew(fake_worker *worker, double now);
+
 /** Processes commands that a controller sends directly to the worker (POST /commands). Returns HTTP
  * status 200 if the worker executes them, or 409 if the agent epoch is over or the fencing token is
  * stale. */
--- a/src/coordination/membership/token_reservation.c
+++ b/src/coordination/membership/token_reservation.c
@@ -26,8 +26,8 @@
         return;
     char key[MV_KEY_SIZE];
     g_snprintf(key, sizeof key, KEY_SHARD_PREFIX "%u", shard->index);
-    shard->requested_tokens = (mv_token_range){.first = membership->term + 1,
-                                               .last = membership->term + MV_TOKEN_RANGE};
+    shard->requested_tokens =
+        (mv_token_range){.first = membership->term + 1, .last = membership->term + MV_TOKEN_RANGE};
     mv_action *transaction = mv_transaction_new(&context->actions, true);
     mv_transaction_require(transaction, key, shard->revision);
     mv_transaction_require(transaction, KEY_TERM, membership->term_revision);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -36,6 +36,20 @@
                                         the machine knows nothing any more */
 } sim_fault_combination;
 
+/** The events for which copies of executed commands are held (sim_plan.copies_after_events). */
+typedef enum {
+    SIM_COPY_ANY_EVENT,        /* drawn for each copy */
+    SIM_COPY_AFTER_FORGOTTEN,  /* the machine does not know an attempt any more that it launched */
+    SIM_COPY_AFTER_DONE,       /* the same, and the task has completed */
+    SIM_COPY_AFTER_ELSEWHERE,  /* the task runs on another machine */
+    SIM_COPY_AFTER_CANCELLED,  /* a user may have been told that the job is cancelled */
+    SIM_COPY_AFTER_CANCEL_S,   /* the same, and cancel_s is over */
+    SIM_COPY_AFTER_CONTROLLER, /* a controller's process starts; one more copy at the next start */
+    SIM_COPY_AFTER_NEW_TERM,   /* the machine has seen the term of another grant or transfer */
+    SIM_COPY_AFTER_HANG,       /* the machine hangs; the copy is executed when it continues */
+    SIM_COPY_EVENTS            /* number of values */
+} sim_copy_event;
+
 /** Links of a controller, for a schedule of cuts. */
 typedef enum {
     SIM_LINK_STATE,           /* to the state store, both directions */
@@ -165,6 +179,11 @@
                                    arrives later, at a random time */
     double copies_after_events; /* share of these commands of which a copy arrives right after an
                                     event such as a clear or a cancellation */
+    sim_copy_event copy_event;  /* the event of copies_after_events */
+    double machine_restart_in_epoch; /* mean; a machine restarts without its tasks; agent epoch,
+                                        sequence and fencing token go on */
+    double machine_restart_anew;     /* mean; a machine restarts without its tasks, and agent epoch,
+                                        sequence and fencing token begin anew */
 
     unsigned *combination_count; /* the run adds the occurrences of `combination`; NULL: no count */
     sim_fault_combination combination;
--- a/tests/sim_cloud.c
+++ b/tests/sim_cloud.c
@@ -128,7 +128,8 @@
 {
     return !plan->machine_crash && !plan->message_delay && !plan->message_loss &&
            !plan->machine_cut && !plan->block_commands && !plan->machine_quick_restart &&
-           !plan->machine_hang && !plan->zone_cut;
+           !plan->machine_restart_in_epoch && !plan->machine_restart_anew && !plan->machine_hang &&
+           !plan->zone_cut;
 }
 
 static void check_release(sim *simulation, const fake_worker *worker)
--- a/tests/sim_command_copies.c
+++ b/tests/sim_command_copies.c
@@ -20,23 +20,16 @@
 /* Interval between two checks for events, in seconds. */
 #define EVENT_CHECK_INTERVAL_S 0.02
 
-/* The event for which a copy is held. */
-typedef enum {
-    COPY_AFTER_FORGOTTEN,  /* the machine does not know an attempt any more that it launched */
-    COPY_AFTER_ELSEWHERE,  /* the task runs on another machine */
-    COPY_AFTER_CANCELLED,  /* a user may have been told that the job is cancelled */
-    COPY_AFTER_CANCEL_S,   /* the same, and cancel_s is over */
-    COPY_AFTER_CONTROLLER, /* a controller's process starts */
-    COPY_AFTER_HANG,       /* the machine hangs; the copy is executed when it continues */
-    COPY_EVENTS
-} copy_event;
+/* Starts of controllers at which a copy arrives. */
+#define COPY_STARTS 2
 
 /* A copy of a command. */
 typedef struct {
     char worker[MV_NAME_SIZE];
     uint64_t fencing_token, agent_epoch;
     GArray *commands; /* mv_command */
-    copy_event event;
+    sim_copy_event event;
+    unsigned starts_left; /* starts of controllers that the copy still waits for */
 } command_copy;
 
 void sim_command_copy_free(gpointer data)
@@ -112,6 +105,13 @@
     return copy;
 }
 
+static command_copy *copy_again(const command_copy *copy)
+{
+    command_copy *again = g_memdup2(copy, sizeof *copy);
+    again->commands = g_array_ref(copy->commands);
+    return again;
+}
+
 void sim_draw_command_copies(sim *simulation, const fake_worker *worker, const mv_action *action)
 {
     const sim_plan *plan = simulation->plan;
@@ -125,7 +125,11 @@
     }
     if (plan->copies_after_events > 0 && sim_chance(simulation, plan->copies_after_events)) {
         command_copy *copy = copy_command(worker, action);
-        copy->event = (copy_event)g_rand_int_range(simulation->random, 0, COPY_EVENTS);
+        copy->event = plan->copy_event;
+        if (copy->event == SIM_COPY_ANY_EVENT)
+            copy->event = (sim_copy_event)g_rand_int_range(simulation->random,
+                                                           SIM_COPY_ANY_EVENT + 1, SIM_COPY_EVENTS);
+        copy->starts_left = COPY_STARTS;
         g_ptr_array_add(simulation->held_copies, copy);
     }
 }
@@ -147,6 +151,12 @@
     return false;
 }
 
+static bool is_completed(const sim *simulation, const mv_command *command)
+{
+    const sim_job *job = sim_job_by_id(simulation, command->job_id);
+    return job && job->completed[command->task];
+}
+
 static bool is_cancelled_for(const sim *simulation, const mv_command *command, double seconds)
 {
     const sim_job *job = sim_job_by_id(simulation, command->job_id);
@@ -157,15 +167,19 @@
                                const command_copy *copy, const mv_command *command)
 {
     switch (copy->event) {
-    case COPY_AFTER_FORGOTTEN:
+    case SIM_COPY_AFTER_FORGOTTEN:
         return !find_attempt(worker, command);
-    case COPY_AFTER_ELSEWHERE:
+    case SIM_COPY_AFTER_DONE:
+        return !find_attempt(worker, command) && is_completed(simulation, command);
+    case SIM_COPY_AFTER_NEW_TERM:
+        return worker->fencing_token > copy->fencing_token + MV_TOKEN_RANGE;
+    case SIM_COPY_AFTER_ELSEWHERE:
         return runs_elsewhere(simulation, worker, command);
-    case COPY_AFTER_CANCELLED:
+    case SIM_COPY_AFTER_CANCELLED:
         return is_cancelled_for(simulation, command, 0);
-    case COPY_AFTER_CANCEL_S:
+    case SIM_COPY_AFTER_CANCEL_S:
         return is_cancelled_for(simulation, command, simulation->nodes[0].settings->cancel_s);
-    case COPY_AFTER_HANG:
+    case SIM_COPY_AFTER_HANG:
         return simulation->now < worker->hung_until;
     default:
         return false; /* sim_release_copies_at_start releases the other copies */
@@ -205,8 +219,13 @@
 void sim_release_copies_at_start(sim *simulation)
 {
     for (guint i = simulation->held_copies->len; i-- > 0;) {
-        const command_copy *copy = g_ptr_array_index(simulation->held_copies, i);
-        if (copy->event == COPY_AFTER_CONTROLLER)
+        command_copy *copy = g_ptr_array_index(simulation->held_copies, i);
+        if (copy->event != SIM_COPY_AFTER_CONTROLLER)
+            continue;
+        if (--copy->starts_left == 0)
             release_copy(simulation, i);
+        else
+            schedule_copy(simulation, sim_random(simulation, 0, COPY_AFTER_EVENT_S),
+                          copy_again(copy));
     }
 }
--- a/tests/sim_faults.c
+++ b/tests/sim_faults.c
@@ -125,6 +125,8 @@
     {offsetof(sim_plan, state_responses_lost), 0.2, 0, sim_lose_state_responses, NULL},
     {offsetof(sim_plan, watches_lost), 0.2, 0, sim_lose_watches, NULL},
     {offsetof(sim_plan, peer_outgoing_lost), 0.2, 0, sim_cut_outgoing_peers, NULL},
+    {offsetof(sim_plan, machine_restart_in_epoch), 0.2, 0, sim_restart_machine_in_epoch, NULL},
+    {offsetof(sim_plan, machine_restart_anew), 0.2, 0, sim_restart_machine_anew, NULL},
 };
 
 static double mean_interval(const sim_plan *plan, const recurring_fault *fault)
--- a/tests/sim_faults.h
+++ b/tests/sim_faults.h
@@ -81,4 +81,8 @@
 void sim_hang_machine(sim *simulation);
 /** Restarts a random machine at once; the machine loses its tasks. */
 void sim_quick_restart_machine(sim *simulation);
+/** Restarts a random machine without its tasks; agent epoch, sequence and token go on. */
+void sim_restart_machine_in_epoch(sim *simulation);
+/** Restarts a random machine without its tasks; agent epoch, sequence and token begin anew. */
+void sim_restart_machine_anew(sim *simulation);
 #endif
--- a/tests/sim_faults_machines.c
+++ b/tests/sim_faults_machines.c
@@ -93,9 +93,30 @@
     }
 }
 
-void sim_quick_restart_machine(sim *simulation)
+/* Returns a random machine that is up, or NULL if the drawn machine is not. */
+static fake_worker *draw_running_worker(sim *simulation)
 {
     fake_worker *worker = sim_random_worker(simulation);
-    if (worker && !worker->gone && has_booted(simulation, worker))
+    return worker && !worker->gone && has_booted(simulation, worker) ? worker : NULL;
+}
+
+void sim_quick_restart_machine(sim *simulation)
+{
+    fake_worker *worker = draw_running_worker(simulation);
+    if (worker)
         fake_worker_restart(worker, simulation->now);
 }
+
+void sim_restart_machine_in_epoch(sim *simulation)
+{
+    fake_worker *worker = draw_running_worker(simulation);
+    if (worker)
+        fake_worker_restart_in_epoch(worker);
+}
+
+void sim_restart_machine_anew(sim *simulation)
+{
+    fake_worker *worker = draw_running_worker(simulation);
+    if (worker)
+        fake_worker_restart_anew(worker, simulation->now);
+}
--- a/tests/sim_invariants.c
+++ b/tests/sim_invariants.c
@@ -29,8 +29,9 @@
         plan->leader_refused_then_outage || plan->slow_state_store || plan->relist ||
         plan->link_flapping || plan->state_responses_lost || plan->watches_lost ||
         plan->peer_outgoing_lost || plan->cut_at_events || plan->cut_count;
-    const bool machines_pause =
-        plan->machine_quick_restart || plan->machine_hang || plan->reclaim_notice;
+    const bool machines_pause = plan->machine_quick_restart || plan->machine_restart_in_epoch ||
+                                plan->machine_restart_anew || plan->machine_hang ||
+                                plan->reclaim_notice;
     const bool tasks_are_preempted =
         plan->latency_sensitive || plan->checkpointing || plan->services;
     return !network_fails && !machines_pause && !tasks_are_preempted;
--- a/tests/test_late_commands.c
+++ b/tests/test_late_commands.c
@@ -8,6 +8,8 @@
 mv_safety_check mv_disabled_check = MV_CHECK_NONE;
 
 #define SEEDS 8
+/* Seeds of which one must break a rule while the launch fence is off. */
+#define EVENT_MUTATION_SEEDS 60
 
 static const sim_plan COPIES = {.command_copies = 0.3,
                                 .copies_after_events = 0.7,
@@ -103,13 +105,107 @@
     assert_rules_hold(plan, 701);
 }
 
-/* --- the safety check is needed --- */
+/* --- one event at a time --- */
+
+/* Copies arrive only right after one kind of event. */
+static sim_plan copies_after(sim_copy_event event)
+{
+    sim_plan plan = COPIES;
+    plan.command_copies = 0;
+    plan.copies_after_events = 1;
+    plan.copy_event = event;
+    return plan;
+}
+
+/* Checks that copies after the event break no rule, and that without the launch fence they break
+ * `rule`. */
+static void assert_event_is_harmless(sim_plan plan, const char *rule, guint32 first_seed)
+{
+    assert_rules_hold(plan, first_seed);
+    sim_assert_rule_breaks(MV_CHECK_LAUNCH_FENCE, &plan, rule, first_seed,
+                           first_seed + EVENT_MUTATION_SEEDS);
+}
+
+static void copy_after_task_was_moved(void)
+{
+    assert_event_is_harmless(copies_after(SIM_COPY_AFTER_ELSEWHERE), "ran_twice", 801);
+}
+
+static void copy_after_cancellation(void)
+{
+    assert_event_is_harmless(copies_after(SIM_COPY_AFTER_CANCELLED), "started after cancellation",
+                             821);
+}
+
+static void copy_after_cancel_s(void)
+{
+    sim_plan plan = copies_after(SIM_COPY_AFTER_CANCEL_S);
+    plan.acknowledged_cancellations = false;
+    assert_event_is_harmless(plan, "ran_cancelled", 841);
+}
+
+/* A task whose result is kept exits as soon as its machine has the image, so its copies break no
+ * rule even without the fence. */
+static void copy_after_completion(void)
+{
+    assert_rules_hold(copies_after(SIM_COPY_AFTER_DONE), 861);
+}
+
+static void copy_as_controller_returns(void)
+{
+    sim_plan plan = copies_after(SIM_COPY_AFTER_CONTROLLER);
+    plan.quick_restart = 4;
+    assert_event_is_harmless(plan, "started after cancellation", 881);
+}
+
+/* The machine has seen a higher term by then, so it refuses the copies even without the fence. */
+static void copy_after_owner_change(void)
+{
+    sim_plan plan = copies_after(SIM_COPY_AFTER_NEW_TERM);
+    plan.quick_restart = 10;
+    plan.shards = 3;
+    assert_rules_hold(plan, 901);
+}
+
+static void copy_as_hung_machine_continues(void)
+{
+    sim_plan plan = copies_after(SIM_COPY_AFTER_HANG);
+    plan.machine_hang = 2;
+    assert_event_is_harmless(plan, "started after cancellation", 921);
+}
+
+static void machine_returns_in_new_epoch(void)
+{
+    sim_plan plan = COPIES;
+    plan.machine_quick_restart = 3;
+    assert_rules_hold(plan, 941);
+}
+
+/* The rules rest on machines that keep their exited tasks and their token as long as the agent
+ * epoch (docs/questions.md). An exited task may be placed elsewhere before its attempt is fenced
+ * off, and a machine without its token executes commands that were fenced off. The following two
+ * tests show that both assumptions are needed. */
+
+static void machine_that_forgets_exited_tasks_breaks_rules(void)
+{
+    sim_plan plan = COPIES;
+    plan.machine_restart_in_epoch = 3;
+    sim_assert_rule_breaks(MV_CHECK_NONE, &plan, "ran_twice", 961, 961 + EVENT_MUTATION_SEEDS);
+}
 
-#define MUTATION_SEEDS 60
+static void machine_that_forgets_its_token_breaks_rules(void)
+{
+    sim_plan plan = COPIES;
+    plan.machine_restart_anew = 3;
+    sim_assert_rule_breaks(MV_CHECK_NONE, &plan, "started after cancellation", 981,
+                           981 + EVENT_MUTATION_SEEDS);
+}
+
+/* --- the safety check is needed --- */
 
 static void assert_check_is_needed(const sim_plan *plan, const char *rule)
 {
-    sim_assert_rule_breaks(MV_CHECK_LAUNCH_FENCE, plan, rule, 1, 1 + MUTATION_SEEDS);
+    sim_assert_rule_breaks(MV_CHECK_LAUNCH_FENCE, plan, rule, 1, 1 + EVENT_MUTATION_SEEDS);
 }
 
 static void launch_fence_check_is_needed(void)
@@ -132,6 +228,18 @@
     g_test_add_func("/late-commands/two-zones", two_zones);
     g_test_add_func("/late-commands/rolling-upgrades", rolling_upgrades);
     g_test_add_func("/late-commands/all-faults", all_faults);
+    g_test_add_func("/late-commands/after-move", copy_after_task_was_moved);
+    g_test_add_func("/late-commands/after-cancellation", copy_after_cancellation);
+    g_test_add_func("/late-commands/after-cancel-s", copy_after_cancel_s);
+    g_test_add_func("/late-commands/after-completion", copy_after_completion);
+    g_test_add_func("/late-commands/controller-returns", copy_as_controller_returns);
+    g_test_add_func("/late-commands/owner-changes", copy_after_owner_change);
+    g_test_add_func("/late-commands/hung-machine-continues", copy_as_hung_machine_continues);
+    g_test_add_func("/late-commands/machine-returns-in-new-epoch", machine_returns_in_new_epoch);
+    g_test_add_func("/late-commands/machine-forgets-exited-tasks",
+                    machine_that_forgets_exited_tasks_breaks_rules);
+    g_test_add_func("/late-commands/machine-forgets-token",
+                    machine_that_forgets_its_token_breaks_rules);
     g_test_add_func("/late-commands/check-launch-fence", launch_fence_check_is_needed);
     return g_test_run();
 }
