Fault injection: copies of executed commands

The soak delayed commands without an answer, but delivered no copy of one that had been executed and answered, so it could not see the fault of the incident. A machine that launches a completed task only fetches the image.

--- a/fault_injection/cloud_server.c
+++ b/fault_injection/cloud_server.c
@@ -206,6 +206,15 @@
     pthread_mutex_unlock(&server->lock);
 }
 
+void mv_cloud_server_set_repeats_commands(mv_cloud_server *server, unsigned machine, bool repeats)
+{
+    pthread_mutex_lock(&server->lock);
+    if (machine < server->machines->len)
+        mv_simulated_machine_set_repeats_commands(g_ptr_array_index(server->machines, machine),
+                                                  repeats);
+    pthread_mutex_unlock(&server->lock);
+}
+
 /* Stops the server first, so that no request starts another machine, and then all machines at the
  * same time. */
 void mv_cloud_server_stop(mv_cloud_server *server)
--- a/fault_injection/cloud_server.h
+++ b/fault_injection/cloud_server.h
@@ -37,6 +37,10 @@
  * mv_cloud_server_set_command_link. */
 void mv_cloud_server_set_heartbeats_lost(mv_cloud_server *server, unsigned machine, bool lost);
 
+/** Sets whether copies of a machine's executed commands arrive late. `machine` is as in
+ * mv_cloud_server_set_command_link. */
+void mv_cloud_server_set_repeats_commands(mv_cloud_server *server, unsigned machine, bool repeats);
+
 /** Stops the server and all machines, and frees them. */
 void mv_cloud_server_stop(mv_cloud_server *server);
 #endif
--- a/fault_injection/environment.c
+++ b/fault_injection/environment.c
@@ -23,7 +23,8 @@
                                                         .fetch_s = options->fetch_s,
                                                         .lease_s = options->lease_s,
                                                         .heartbeat_ms = options->heartbeat_ms,
-                                                        .history = options->history};
+                                                        .history = options->history,
+                                                        .completed = mv_completed_tasks_new()};
     environment->state = mv_state_store_server_start(options->refuse_every, options->history);
     environment->cloud = mv_cloud_server_start(options->machines, options->deletes_machines,
                                                &environment->machine_options);
@@ -34,6 +35,7 @@
 {
     mv_cloud_server_stop(environment->cloud);
     mv_state_store_server_stop(environment->state);
+    mv_completed_tasks_free(environment->machine_options.completed);
     g_free(environment);
 }
 
@@ -84,6 +86,12 @@
     mv_cloud_server_set_heartbeats_lost(environment->cloud, machine, lost);
 }
 
+void mv_environment_set_repeats_commands(mv_environment *environment, unsigned machine,
+                                         bool repeats)
+{
+    mv_cloud_server_set_repeats_commands(environment->cloud, machine, repeats);
+}
+
 void mv_environment_hold_watches(mv_environment *environment, bool held)
 {
     mv_state_store_server_hold_watches(environment->state, held);
--- a/fault_injection/environment.h
+++ b/fault_injection/environment.h
@@ -65,6 +65,11 @@
  * mv_environment_set_command_link. */
 void mv_environment_set_heartbeats_lost(mv_environment *environment, unsigned machine, bool lost);
 
+/** Sets whether copies of a machine's executed commands arrive late, as
+ * mv_simulated_machine_set_repeats_commands describes. */
+void mv_environment_set_repeats_commands(mv_environment *environment, unsigned machine,
+                                         bool repeats);
+
 /** Holds the watches of all controllers at the state service, or lets them go. */
 void mv_environment_hold_watches(mv_environment *environment, bool held);
 
--- a/fault_injection/scenario.c
+++ b/fault_injection/scenario.c
@@ -37,7 +37,8 @@
                                          {"late_writes", MV_FAULT_LATE_TRANSACTIONS},
                                          {"cloud", MV_FAULT_CLOUD},
                                          {"hang", MV_FAULT_MACHINE},
-                                         {"machine_reports", MV_FAULT_MACHINE_HEARTBEATS}};
+                                         {"machine_reports", MV_FAULT_MACHINE_HEARTBEATS},
+                                         {"command_copies", MV_FAULT_COMMAND_COPIES}};
 static const cyaml_strval_t MODES[] = {{"both", MV_FAULT_DROP_BOTH},
                                        {"requests", MV_FAULT_DROP_REQUESTS},
                                        {"answers", MV_FAULT_DROP_RESPONSES},
--- a/fault_injection/scenario.h
+++ b/fault_injection/scenario.h
@@ -24,6 +24,7 @@
     MV_FAULT_CLOUD,              /**< the cloud: refuses every request */
     MV_FAULT_MACHINE,            /**< a machine: hangs, and continues at the fault's end */
     MV_FAULT_MACHINE_HEARTBEATS, /**< the link on which a machine sends its heartbeats */
+    MV_FAULT_COMMAND_COPIES,     /**< a machine: gets copies of commands that it executed before */
     MV_FAULT_TARGETS             /**< the number of targets */
 } mv_fault_target;
 
--- a/fault_injection/scenario_runner.c
+++ b/fault_injection/scenario_runner.c
@@ -99,6 +99,9 @@
     case MV_FAULT_MACHINE_HEARTBEATS:
         mv_environment_set_heartbeats_lost(run->environment, step->target_index, begins);
         break;
+    case MV_FAULT_COMMAND_COPIES:
+        mv_environment_set_repeats_commands(run->environment, step->target_index, begins);
+        break;
     case MV_FAULT_WATCHES:
         mv_environment_hold_watches(run->environment, begins);
         break;
--- a/fault_injection/script.c
+++ b/fault_injection/script.c
@@ -35,9 +35,9 @@
 static void generate_faults(const mv_scenario *scenario, const mv_scenario_fault *fault,
                             GRand *random, GArray *steps)
 {
-    const bool targets_machines = fault->target == MV_FAULT_COMMAND_LINK ||
-                                  fault->target == MV_FAULT_MACHINE ||
-                                  fault->target == MV_FAULT_MACHINE_HEARTBEATS;
+    const bool targets_machines =
+        fault->target == MV_FAULT_COMMAND_LINK || fault->target == MV_FAULT_MACHINE ||
+        fault->target == MV_FAULT_MACHINE_HEARTBEATS || fault->target == MV_FAULT_COMMAND_COPIES;
     const gint targets = (gint)(targets_machines ? scenario->machines : scenario->controllers);
     const double interval_s = fault->interval_ms / 1000.0;
     double at = WARM_UP_S + g_rand_double_range(random, 0, interval_s);
--- a/fault_injection/simulated_machine.c
+++ b/fault_injection/simulated_machine.c
@@ -5,6 +5,7 @@
 #include "simulated_machine.h"
 
 #include "agent_codec.h"
+#include "executed_commands.h"
 #include "fake_worker.h"
 #include "loopback_server.h"
 #include "protocol/names.h"
@@ -27,6 +28,9 @@
     fake_worker *worker;
     /* "job/task/attempt" -> fake_task, a copy of each task as of the latest record_changes */
     GHashTable *recorded;
+    mv_executed_commands *executed;
+    bool repeats_commands; /* copies arrive of executed commands with forgotten attempts */
+    bool repeats_all;      /* a copy of each executed command is due */
     bool stopping, hung, heartbeats_lost, deleted;
     mv_loopback_server *server;
     mv_relay *command_link;
@@ -81,10 +85,13 @@
 static void record_task(const mv_simulated_machine *machine, const fake_task *before,
                         const fake_task *task)
 {
-    const bool has_run = task->started_at > 0;
+    const bool has_run = task->started_at > 0 && !task->never_runs;
     const bool had_exited = before && before->status == FAKE_TASK_EXITED;
     if (has_run && !before)
         record_event(machine, MV_EVENT_STARTED, task);
+    if (has_run && !had_exited && task->exit_reason == MV_EXIT_DONE &&
+        task->status == FAKE_TASK_EXITED)
+        mv_completed_tasks_add(machine->options->completed, task->job_id, task->task);
     if (has_run && !had_exited && task->status == FAKE_TASK_EXITED)
         record_event(machine, task->exit_reason == MV_EXIT_DONE ? MV_EVENT_DONE : MV_EVENT_LOST,
                      task);
@@ -131,9 +138,8 @@
 static fake_task_spec task_spec(void *context, const char *job, uint32_t task)
 {
     const mv_machine_options *options = context;
-    (void)job;
-    (void)task;
-    return (fake_task_spec){.cores = TASK_CORES,
+    return (fake_task_spec){.completed = mv_completed_tasks_contain(options->completed, job, task),
+                            .cores = TASK_CORES,
                             .ram_gb = TASK_RAM_GB,
                             .run_s = options->run_s,
                             .fetch_s = options->fetch_s,
@@ -166,6 +172,8 @@
     const int status =
         fake_worker_receive_command(machine->worker, fencing_token, agent_epoch, commands,
                                     mv_steady_now_s(), task_spec, (void *)machine->options);
+    if (status == MHD_HTTP_OK)
+        mv_executed_commands_add(machine->executed, fencing_token, agent_epoch, commands);
     record_changes(machine);
     write_heartbeat(response, machine->worker);
     pthread_mutex_unlock(&machine->lock);
@@ -180,11 +188,22 @@
     GBytes *body; /* owned */
 } sent_heartbeat;
 
+/* Delivers the copies of executed commands that are due; the caller holds the machine's lock. */
+static void repeat_commands(mv_simulated_machine *machine)
+{
+    if (!machine->repeats_commands || machine->deleted)
+        return;
+    mv_executed_commands_repeat(machine->executed, machine->worker, !machine->repeats_all,
+                                mv_steady_now_s(), task_spec, (void *)machine->options);
+    machine->repeats_all = false;
+}
+
 static sent_heartbeat next_heartbeat(mv_simulated_machine *machine)
 {
     mv_writer *writer = mv_writer_new();
     lock_when_running(machine);
     fake_worker_advance(machine->worker, mv_steady_now_s());
+    repeat_commands(machine);
     record_changes(machine);
     sent_heartbeat heartbeat = {.agent_epoch = machine->worker->agent_epoch,
                                 .sent_at = mv_steady_now_s()};
@@ -306,6 +325,7 @@
     machine->options = options;
     machine->worker = worker;
     machine->recorded = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    machine->executed = mv_executed_commands_new();
     pthread_mutex_init(&machine->lock, NULL);
     machine->server = mv_loopback_server_start(handle_commands, machine);
     uint16_t port = 0;
@@ -337,6 +357,13 @@
     pthread_mutex_unlock(&machine->lock);
 }
 
+void mv_simulated_machine_set_repeats_commands(mv_simulated_machine *machine, bool repeats)
+{
+    pthread_mutex_lock(&machine->lock);
+    machine->repeats_commands = machine->repeats_all = repeats;
+    pthread_mutex_unlock(&machine->lock);
+}
+
 void mv_simulated_machine_delete(mv_simulated_machine *machine)
 {
     pthread_mutex_lock(&machine->lock);
@@ -366,6 +393,7 @@
     mv_loopback_server_stop(machine->server);
     fake_worker_free(machine->worker);
     g_hash_table_unref(machine->recorded);
+    mv_executed_commands_free(machine->executed);
     pthread_mutex_destroy(&machine->lock);
     g_free(machine);
 }
--- a/fault_injection/simulated_machine.h
+++ b/fault_injection/simulated_machine.h
@@ -9,6 +9,7 @@
  */
 #ifndef MV_SIMULATED_MACHINE_H
 #define MV_SIMULATED_MACHINE_H
+#include "completed_tasks.h"
 #include "history.h"
 #include "relay.h"
 
@@ -24,6 +25,7 @@
     double lease_s;        /**< lease of a machine; the machine drops its tasks on expiry */
     unsigned heartbeat_ms; /**< pause between two heartbeats of a machine */
     mv_history *history;   /**< receives the machine's events; NULL: they are not recorded */
+    mv_completed_tasks *completed; /**< the tasks that any machine has completed */
     /** Addresses of the controllers n0, n1 and so on, "host:port". */
     char controllers[MV_CONTROLLERS_MAX][MV_CONTROLLER_ADDRESS_SIZE];
     unsigned controller_count;
@@ -50,6 +52,12 @@
  */
 void mv_simulated_machine_set_heartbeats_lost(mv_simulated_machine *machine, bool lost);
 
+/** Sets whether copies of executed direct commands arrive late. When the fault begins, a copy of
+ * each arrives; as long as it lasts, a copy arrives right after the machine has forgotten an
+ * attempt that the command launched. A machine that hangs gets them when it continues.
+ * Thread-safe. */
+void mv_simulated_machine_set_repeats_commands(mv_simulated_machine *machine, bool repeats);
+
 /** Ends the machine for good, with its tasks: the cloud has taken it away. Thread-safe. */
 void mv_simulated_machine_delete(mv_simulated_machine *machine);
 
