--- a/src/coordination/controller/heartbeats.c
+++ b/src/coordination/controller/heartbeats.c
@@ -10,6 +10,7 @@
 #include "coordination/agents/launch_fence.h"
 #include "coordination/agents/lease_renewal.h"
 #include "coordination/agents/machine.h"
+#include "coordination/agents/missing_tasks.h"
 #include "coordination/autoscaling/adoption.h"
 #include "protocol/http_status.h"
 
