--- a/src/coordination/agents/command_list.c
+++ b/src/coordination/agents/command_list.c
@@ -42,14 +42,14 @@
 void mv_command_list_log(const GArray *commands, const mv_machine *machine, uint64_t fencing_token,
                          uint64_t command_id)
 {
-    static const char *const events[] = {[MV_COMMAND_LAUNCH] = "launch_sent",
+    static const char *const EVENTS[] = {[MV_COMMAND_LAUNCH] = "launch_sent",
                                          [MV_COMMAND_STOP] = "stop_sent",
                                          [MV_COMMAND_CLEAR] = "clear_sent"};
     if (mv_log_current() < MV_LOG_DEBUG)
         return;
     for (guint i = 0; i < commands->len; i++) {
         const mv_command *command = &g_array_index(commands, mv_command, i);
-        mv_debug(events[command->kind],
+        mv_debug(EVENTS[command->kind],
                  "task=%s/%u attempt=%" G_GUINT64_FORMAT " machine=%s token=%" G_GUINT64_FORMAT
                  " epoch=%" G_GUINT64_FORMAT " command=%" G_GUINT64_FORMAT,
                  command->job_id, command->task, command->attempt, machine->id, fencing_token,
--- a/src/coordination/agents/missing_tasks.h
+++ b/src/coordination/agents/missing_tasks.h
@@ -1,6 +1,6 @@
 /**
- * Placements that a current heartbeat does not list: the task is gone, its launch has not arrived yet,
- * or the job ended before the launch arrived.
+ * Placements that a current heartbeat does not list: the task is gone, its launch has not arrived
+ * yet, or the job ended before the launch arrived.
  */
 #ifndef MV_MISSING_TASKS_H
 #define MV_MISSING_TASKS_H
