--- a/src/coordination/foundation/shard.c
+++ b/src/coordination/foundation/shard.c
@@ -1,5 +1,7 @@
 #include "coordination/foundation/shard.h"
 
+#include "telemetry/log.h"
+
 static void free_segment(gpointer data)
 {
     mv_partition_segment *segment = data;
@@ -37,3 +39,28 @@
     }
     return g_ptr_array_index(shard->segments, index);
 }
+
+void mv_shard_reservation_answered(mv_shard *shard, double now, uint64_t id,
+                                   mv_transaction_result result)
+{
+    if (shard->token_transaction_id != id)
+        return;
+    shard->token_transaction_id = 0;
+    if (result != MV_TRANSACTION_COMMITTED)
+        return;
+    shard->tokens = shard->requested_tokens;
+    shard->needs_tokens = false;
+    shard->tokens_reserved_at = now;
+    mv_info("tokens_reserved",
+            "shard=%u term=%" G_GUINT64_FORMAT " first=%" G_GUINT64_FORMAT
+            " last=%" G_GUINT64_FORMAT,
+            shard->index, shard->holder.term, shard->tokens.first, shard->tokens.last);
+}
+
+void mv_shard_forget_tokens(mv_shard *shard)
+{
+    shard->tokens = shard->requested_tokens = (mv_token_range){0};
+    shard->token_transaction_id = 0;
+    shard->needs_tokens = false;
+    shard->tokens_reserved_at = 0;
+}
--- a/src/coordination/foundation/shard.h
+++ b/src/coordination/foundation/shard.h
@@ -95,6 +95,14 @@
 mv_shard *mv_shard_new(unsigned index);
 /** Frees a shard, its segments and the last received demand, but not the machines. */
 void mv_shard_free(mv_shard *shard);
+/**
+ * Takes the requested range of tokens into use if the transaction `id` is its reservation and was
+ * committed. `now`: seconds of the monotonic clock. Ignores other transactions.
+ */
+void mv_shard_reservation_answered(mv_shard *shard, double now, uint64_t id,
+                                   mv_transaction_result result);
+/** Forgets the ranges of tokens, which belong to the grant that ends. */
+void mv_shard_forget_tokens(mv_shard *shard);
 /** Returns the segment with this index, and creates the segment if there is none. */
 mv_partition_segment *mv_shard_segment(mv_shard *shard, unsigned index);
 #endif
--- a/src/coordination/membership/membership.c
+++ b/src/coordination/membership/membership.c
@@ -1,7 +1,5 @@
 #include "coordination/membership/membership.h"
 
-#include "coordination/membership/token_reservation.h"
-
 #include <string.h>
 
 /* A returned machine is remembered for this many lags of the cloud's machine list, plus
@@ -133,6 +131,6 @@
         mv_shard *shard = g_ptr_array_index(context->shards, i);
         mv_transaction_slot_answered(&shard->occupancy_transaction, clock, id, result);
         mv_transaction_slot_answered(&shard->partition_transaction, clock, id, result);
-        mv_token_reservation_answered(context, shard, id, result);
+        mv_shard_reservation_answered(shard, clock->now, id, result);
     }
 }
--- a/src/coordination/membership/state_cache.c
+++ b/src/coordination/membership/state_cache.c
@@ -1,7 +1,6 @@
 #include "coordination/membership/state_cache.h"
 
 #include "coordination/agents/machine_lifecycle.h"
-#include "coordination/membership/token_reservation.h"
 #include "protocol/names.h"
 #include "telemetry/log.h"
 
@@ -151,7 +150,7 @@
 {
     shard->grant_revision = revision;
     shard->rebuilt = false;
-    mv_token_reservation_reset(shard);
+    mv_shard_forget_tokens(shard);
     shard->acquired_at = shard->listening_since = context->clock.now;
     if (shard->owned)
         context->counters.shard_acquisitions++;
--- a/src/coordination/membership/token_reservation.c
+++ b/src/coordination/membership/token_reservation.c
@@ -1,7 +1,6 @@
 #include "coordination/membership/token_reservation.h"
 
 #include "protocol/names.h"
-#include "telemetry/log.h"
 
 /* Returns whether this process is writing the counter of terms already. Of two such writes, one
  * would conflict. */
@@ -35,28 +34,3 @@
     mv_transaction_slot_sent(&membership->term_transaction, &context->clock, transaction);
     shard->token_transaction_id = transaction->id;
 }
-
-void mv_token_reservation_answered(const mv_context *context, mv_shard *shard, uint64_t id,
-                                   mv_transaction_result result)
-{
-    if (shard->token_transaction_id != id)
-        return;
-    shard->token_transaction_id = 0;
-    if (result != MV_TRANSACTION_COMMITTED)
-        return;
-    shard->tokens = shard->requested_tokens;
-    shard->needs_tokens = false;
-    shard->tokens_reserved_at = context->clock.now;
-    mv_info("tokens_reserved",
-            "shard=%u term=%" G_GUINT64_FORMAT " first=%" G_GUINT64_FORMAT
-            " last=%" G_GUINT64_FORMAT,
-            shard->index, shard->holder.term, shard->tokens.first, shard->tokens.last);
-}
-
-void mv_token_reservation_reset(mv_shard *shard)
-{
-    shard->tokens = shard->requested_tokens = (mv_token_range){0};
-    shard->token_transaction_id = 0;
-    shard->needs_tokens = false;
-    shard->tokens_reserved_at = 0;
-}
--- a/src/coordination/membership/token_reservation.h
+++ b/src/coordination/membership/token_reservation.h
@@ -11,10 +11,4 @@
 
 /** Sends a reservation for an owned shard that has no range yet or needs another one. */
 void mv_token_reservation_tick(mv_membership *membership, mv_shard *shard);
-/** Passes the result of an answered transaction on; ignores those that are no reservation of the
- * shard. */
-void mv_token_reservation_answered(const mv_context *context, mv_shard *shard, uint64_t id,
-                                   mv_transaction_result result);
-/** Forgets the shard's range, which belongs to the grant that ends. */
-void mv_token_reservation_reset(mv_shard *shard);
 #endif
