--- a/review/kit-2/http.c
+++ b/review/kit-2/http.c
@@ -198,47 +198,80 @@
     return ntohs(at.sin_port);
 }
 
-int http_call(int port, const char *method, const char *path, const buf *body, double timeout_s, buf *answer)
+void http_close(http_conn *c)
+{
+    if (c->fd >= 0)
+        close(c->fd);
+    c->fd = -1;
+}
+
+bool http_open(http_conn *c, int port, double timeout_s)
 {
-    double until = now_s() + timeout_s;
     struct sockaddr_in to = {
         .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK), .sin_port = htons((uint16_t)port)};
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), status = 0;
-    int one = 1;
-    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+    int one = 1, error = 0;
+    socklen_t len = sizeof error;
+    c->port = port;
+    c->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    if (c->fd < 0)
+        return false;
+    setsockopt(c->fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+    if (connect(c->fd, (struct sockaddr *)&to, sizeof to) < 0) {
+        struct pollfd p = {.fd = c->fd, .events = POLLOUT};
+        if (errno != EINPROGRESS || poll(&p, 1, (int)(timeout_s * 1000)) <= 0 ||
+            getsockopt(c->fd, SOL_SOCKET, SO_ERROR, &error, &len) < 0 || error) {
+            http_close(c);
+            return false;
+        }
+    }
+    fcntl(c->fd, F_SETFL, fcntl(c->fd, F_GETFL) & ~O_NONBLOCK);
+    return true;
+}
+
+int http_on(http_conn *c, const char *method, const char *path, const buf *body, double timeout_s, buf *answer)
+{
+    double until = now_s() + timeout_s;
     buf out = {0}, in = {0};
     char line[700];
-    if (connect(fd, (struct sockaddr *)&to, sizeof to) < 0)
-        goto end;
+    int status = 0;
     int n = snprintf(line, sizeof line,
-                     "%s %s HTTP/1.1\r\nHost: 127.0.0.1:%d\r\nContent-Type: application/msgpack\r\nContent-Length: %zu\r\n"
-                     "Connection: close\r\n\r\n",
-                     method, path, port, body ? body->len : 0);
+                     "%s %s HTTP/1.1\r\nHost: 127.0.0.1:%d\r\nContent-Type: application/msgpack\r\nContent-Length: %zu\r\n\r\n",
+                     method, path, c->port, body ? body->len : 0);
     buf_add(&out, line, (size_t)n);
     if (body && body->len)
         buf_add(&out, body->data, body->len);
-    if (!send_all(fd, out.data, out.len))
-        goto end;
-    size_t head_len = read_head(fd, &in, until);
-    if (!head_len)
-        goto end;
-    char *head = strndup((char *)in.data, head_len);
-    size_t body_len = (size_t)header_number(head, "\r\nContent-Length:");
-    int code = 0;
-    sscanf(head, "HTTP/1.1 %d", &code);
-    free(head);
-    if (!read_body(fd, &in, head_len + body_len, until))
-        goto end;
-    status = code;
-    if (answer)
-        buf_add(answer, in.data + head_len, body_len);
-end:
-    close(fd);
+    size_t head_len = send_all(c->fd, out.data, out.len) ? read_head(c->fd, &in, until) : 0;
+    bool close_after = true;
+    if (head_len) {
+        char *head = strndup((char *)in.data, head_len);
+        size_t body_len = (size_t)header_number(head, "\r\nContent-Length:");
+        int code = 0;
+        sscanf(head, "HTTP/1.1 %d", &code);
+        close_after = strcasestr(head, "\r\nConnection: close") != NULL;
+        free(head);
+        if (read_body(c->fd, &in, head_len + body_len, until)) {
+            status = code;
+            if (answer)
+                buf_add(answer, in.data + head_len, body_len);
+        }
+    }
+    if (!status || close_after)
+        http_close(c);
     buf_free(&out);
     buf_free(&in);
     return status;
 }
 
+int http_call(int port, const char *method, const char *path, const buf *body, double timeout_s, buf *answer)
+{
+    http_conn c = {.fd = -1};
+    if (!http_open(&c, port, timeout_s))
+        return 0;
+    int status = http_on(&c, method, path, body, timeout_s, answer);
+    http_close(&c);
+    return status;
+}
+
 char *query_arg(const request *req, const char *name)
 {
     size_t n = strlen(name);
--- a/review/kit-2/kit.h
+++ b/review/kit-2/kit.h
@@ -63,6 +63,14 @@
 int http_serve(http_handler handler, void *context); /* returns the port */
 /* Sends one request on a connection of its own. Returns the status; 0: no answer in time. */
 int http_call(int port, const char *method, const char *path, const buf *body, double timeout_s, buf *answer);
+/* A connection that stays open, as users keep theirs. `fd` is -1 while it is closed. */
+typedef struct {
+    int fd, port;
+} http_conn;
+bool http_open(http_conn *c, int port, double timeout_s);
+void http_close(http_conn *c);
+/* Sends a request on the open connection. Status 0: no answer in time, or the connection ended; it is closed then. */
+int http_on(http_conn *c, const char *method, const char *path, const buf *body, double timeout_s, buf *answer);
 char *query_arg(const request *req, const char *name); /* malloc'ed, NULL if absent */
 
 /* --- the deployment --- */
@@ -108,7 +116,7 @@
 bool ctl_running(unsigned node); /* false: it has ended */
 pid_t ctl_pid(unsigned node);
 int ctl_port(unsigned node);
-double ctl_rss_mb(unsigned node); /* memory that the process holds; 0: unknown */
+double ctl_memory_mb(unsigned node); /* private memory that the process holds; 0: unknown */
 bool ctl_wait_healthy(double timeout_s); /* until each node that runs answers GET /healthz with 200 */
 int ctl_leader(void); /* node that holds the leader's record; -1: none */
 
@@ -120,6 +128,11 @@
 } state_fault;
 void state_set_fault(unsigned node, state_fault fault);
 void state_outage(bool on); /* 503 for all; leases are stopped and have their full time again afterwards */
+/* So many of a thousand requests take 0.2 to 0.5 s longer. */
+void state_set_slow(unsigned permille);
+/* The next answer to a watch of the node that ran to its end with no news takes so much longer. */
+void state_delay_next_follow(unsigned node, double seconds);
+double state_follow_open_s(unsigned node); /* how long the node's present watch has been open; -1: none is */
 unsigned state_requests(const char *what); /* requests of a kind so far: "txn", "follow", "list", "get", "renew", "grant" */
 uint64_t state_epoch(void);
 bool state_has(const char *key);
@@ -156,6 +169,22 @@
 /* Polls every `every_s`, until the job is done or cancelled. */
 bool user_wait_final(const char *id, double timeout_s, double every_s, char status[32]);
 void job_register(const job *j); /* makes the description known to the workers; user_submit does so too */
+bool job_all_completed(const char *id); /* every piece has completed on a worker */
+
+/* The load balancer of the protocol page: it probes each node and picks a healthy one, with the fewest open user
+ * connections. */
+void lb_start(void);
+int lb_pick(void);          /* the node for a new connection; -1: none is healthy. Counts the connection as open. */
+void lb_closed(int node);   /* a connection to the node has been closed */
+bool lb_healthy(unsigned node);
+
+/* A user with a connection through the load balancer. */
+typedef struct {
+    http_conn conn;
+    int node; /* -1: not connected */
+} lb_user;
+int lb_request(lb_user *u, const char *method, const char *path, const buf *body, double timeout_s, buf *answer);
+void write_job(buf *b, const job *j); /* the body of a submission */
 
 /* --- the rules, checked on what workers and users see --- */
 unsigned rule_breaks(const char *rule); /* "": all */
--- a/review/kit-2/machines.c
+++ b/review/kit-2/machines.c
@@ -798,3 +798,14 @@
     pthread_mutex_unlock(&lock);
     return found;
 }
+
+bool job_all_completed(const char *id)
+{
+    pthread_mutex_lock(&lock);
+    const known_job *k = find_job(id);
+    bool all = k != NULL;
+    for (unsigned i = 0; k && i < k->spec.pieces; i++)
+        all = all && k->completed[i];
+    pthread_mutex_unlock(&lock);
+    return all;
+}
--- a/review/kit-2/state.c
+++ b/review/kit-2/state.c
@@ -40,6 +40,8 @@
 static size_t lease_count;
 static state_fault faults[NODES_MAX];
 static bool outage;
+static int slow_permille; /* of the answers take a few hundred milliseconds */
+static double follow_since[NODES_MAX], follow_delay[NODES_MAX]; /* since: 0: no watch is open */
 static double tokens, write_tokens, refilled;
 static struct {
     const char *what;
@@ -338,6 +340,7 @@
     uint64_t after = after_text ? strtoull(after_text, NULL, 10) : 0;
     double until = now_s() + (wait ? fmin(atof(wait), 60000) / 1000 : 0);
     count("follow");
+    follow_since[node] = now_s();
     while (held_back(node) || (!collect(starts ? starts : "", after, NULL) && now_s() < until)) {
         struct timespec t;
         clock_gettime(CLOCK_REALTIME, &t);
@@ -348,6 +351,16 @@
         }
         pthread_cond_timedwait(&changed, &lock, &t);
     }
+    follow_since[node] = 0;
+    bool quiet = !collect(starts ? starts : "", after, NULL);
+    if (quiet && follow_delay[node] > 0) { /* a response that takes a few hundred milliseconds */
+        double slow = follow_delay[node];
+        follow_delay[node] = 0;
+        rec("DISRUPTION an answer of the state service to node %u takes %.0f ms", node, slow * 1000);
+        pthread_mutex_unlock(&lock);
+        sleep_s(slow);
+        pthread_mutex_lock(&lock);
+    }
     if (change_count > LOG_KEPT && after < changes[first_kept() % LOG_KEPT].stamp - 1) {
         error(res, 410, "too old");
     } else {
@@ -480,7 +493,10 @@
     unsigned node = (unsigned)(uintptr_t)context;
     val *body = req->body_len ? mp_parse(req->body, req->body_len) : NULL;
     bool is_follow = strcmp(req->path, "/follow") == 0;
+    double slow = rand() % 1000 < slow_permille ? 0.2 + (rand() % 300) / 1000.0 : 0;
+    bool slow_answer = rand() % 2;
     usleep(1500);
+    sleep_s(slow_answer ? 0 : slow);
     pthread_mutex_lock(&lock);
     while (faults[node] == STATE_SILENT && !is_follow)
         pthread_cond_wait(&changed, &lock); /* executed late, once the fault is over */
@@ -502,6 +518,7 @@
     else
         error(res, 404, "no such path");
     pthread_mutex_unlock(&lock);
+    sleep_s(slow_answer ? slow : 0);
     val_free(body);
 }
 
@@ -528,6 +545,26 @@
     rec("DISRUPTION state service %s", on ? "is down" : "is back");
 }
 
+void state_set_slow(unsigned permille)
+{
+    slow_permille = (int)permille;
+}
+
+void state_delay_next_follow(unsigned node, double seconds)
+{
+    pthread_mutex_lock(&lock);
+    follow_delay[node] = seconds;
+    pthread_mutex_unlock(&lock);
+}
+
+double state_follow_open_s(unsigned node)
+{
+    pthread_mutex_lock(&lock);
+    double open = follow_since[node] > 0 ? now_s() - follow_since[node] : -1;
+    pthread_mutex_unlock(&lock);
+    return open;
+}
+
 uint64_t state_epoch(void)
 {
     pthread_mutex_lock(&lock);
--- a/review/kit-2/world.c
+++ b/review/kit-2/world.c
@@ -266,14 +266,14 @@
     return nodes[node].listen;
 }
 
-double ctl_rss_mb(unsigned node)
+double ctl_memory_mb(unsigned node)
 {
     char path[64], line[128];
     double kb = 0;
     snprintf(path, sizeof path, "/proc/%d/status", (int)nodes[node].pid);
     FILE *f = nodes[node].pid ? fopen(path, "r") : NULL;
     while (f && fgets(line, sizeof line, f))
-        if (sscanf(line, "VmRSS: %lf", &kb) == 1)
+        if (sscanf(line, "RssAnon: %lf", &kb) == 1)
             break;
     if (f)
         fclose(f);
@@ -333,7 +333,7 @@
 
 /* --- users --- */
 
-static void write_job(buf *b, const job *j)
+void write_job(buf *b, const job *j)
 {
     mp_map(b, 20);
     mp_str(b, "id");
