--- a/review/kit-2/kit.h
+++ b/review/kit-2/kit.h
@@ -145,6 +145,7 @@
 void machine_hang(unsigned machine, bool on);     /* executes and sends nothing; commands wait */
 void machine_take(unsigned machine);              /* the cloud takes it, with no notice */
 void machine_mute(unsigned machine, bool on);     /* its reports reach nobody */
+void machine_hold_commands(unsigned machine, bool on); /* they are executed late */
 unsigned machine_tasks(unsigned machine);         /* tasks that are on it now */
 int machine_of_task(const char *task);            /* machine on which the task is now; -1: none */
 void cloud_set_down(bool on);
--- a/review/kit-2/machines.c
+++ b/review/kit-2/machines.c
@@ -32,7 +32,7 @@
     unsigned number;
     char name[24];
     const machine_type *type;
-    bool spot, up, gone, hung, mute, failed;
+    bool spot, up, gone, hung, mute, held;
     double rented_at, up_at, gone_at;
     int port;
     uint64_t tenure, tick, baton;
@@ -394,7 +394,7 @@
     machine *m = context;
     val *body = mp_parse(req->body, req->body_len);
     pthread_mutex_lock(&lock);
-    while (m->hung && !m->gone) {
+    while ((m->hung || m->held) && !m->gone) {
         pthread_mutex_unlock(&lock);
         usleep(10000);
         pthread_mutex_lock(&lock);
@@ -770,6 +770,14 @@
     rec("DISRUPTION reports of %s %s", machine_name(number), on ? "reach nobody" : "pass again");
 }
 
+void machine_hold_commands(unsigned number, bool on)
+{
+    pthread_mutex_lock(&lock);
+    machines[number]->held = on;
+    pthread_mutex_unlock(&lock);
+    rec("DISRUPTION commands to %s %s", machine_name(number), on ? "are held back" : "are delivered, late");
+}
+
 void machine_take(unsigned number)
 {
     pthread_mutex_lock(&lock);
