--- a/review/kit-2/kit.h
+++ b/review/kit-2/kit.h
@@ -149,6 +149,8 @@
 unsigned machine_tasks(unsigned machine);         /* tasks that are on it now */
 int machine_of_task(const char *task);            /* machine on which the task is now; -1: none */
 void cloud_set_down(bool on);
+void cloud_hold_returns(bool on);   /* on: requests to return machines wait; off: they are executed, late */
+unsigned cloud_held_returns(void); /* such requests that wait */
 
 /* --- jobs and users --- */
 typedef struct {
--- a/review/kit-2/machines.c
+++ b/review/kit-2/machines.c
@@ -64,6 +64,8 @@
 } hires[512];
 static unsigned hire_total;
 static bool cloud_down;
+static bool hold_returns;      /* a request to return machines is executed late */
+static unsigned held_returns; /* such requests that wait */
 static double cloud_tokens, cloud_refilled;
 static struct {
     char rule[32];
@@ -687,8 +689,21 @@
         cloud_tokens--;
         if (strcmp(req->path, "/machine_types") == 0)
             list_types(res);
-        else if (strcmp(req->path, "/rentals/release") == 0)
+        else if (strcmp(req->path, "/rentals/release") == 0) {
+            bool late = hold_returns;
+            if (late) {
+                held_returns++;
+                rec("cloud: a request to return machines arrives; it is executed late");
+            }
+            while (hold_returns) {
+                pthread_mutex_unlock(&lock);
+                usleep(5000);
+                pthread_mutex_lock(&lock);
+            }
+            if (late)
+                held_returns--;
             give_back(body, res);
+        }
         else if (strcmp(req->path, "/rentals") == 0 && strcmp(req->method, "POST") == 0)
             rental(body, res);
         else if (strcmp(req->path, "/rentals") == 0)
@@ -715,6 +730,22 @@
     return http_serve(on_cloud, NULL);
 }
 
+void cloud_hold_returns(bool on)
+{
+    pthread_mutex_lock(&lock);
+    hold_returns = on;
+    pthread_mutex_unlock(&lock);
+    rec(on ? "the next request to return machines will be held back" : "DISRUPTION the request to return machines is executed, late");
+}
+
+unsigned cloud_held_returns(void)
+{
+    pthread_mutex_lock(&lock);
+    unsigned n = held_returns;
+    pthread_mutex_unlock(&lock);
+    return n;
+}
+
 void cloud_set_down(bool on)
 {
     pthread_mutex_lock(&lock);
--- a/review/kit-2/world.c
+++ b/review/kit-2/world.c
@@ -129,17 +129,25 @@
     return &settings;
 }
 
+/* A port below those that the system gives to outgoing connections, so that none of them takes it before the controller. */
 static int free_port(void)
 {
-    struct sockaddr_in at = {.sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-    socklen_t len = sizeof at;
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-    if (fd < 0 || bind(fd, (struct sockaddr *)&at, sizeof at) < 0 || getsockname(fd, (struct sockaddr *)&at, &len) < 0) {
-        perror("port");
-        exit(2);
+    static unsigned next;
+    if (!next)
+        next = (unsigned)getpid() * 37 + (unsigned)time(NULL);
+    for (int i = 0; i < 1000; i++) {
+        int port = 12000 + (int)(next++ * 7 % 18000), one = 1;
+        struct sockaddr_in at = {
+            .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK), .sin_port = htons((uint16_t)port)};
+        int fd = socket(AF_INET, SOCK_STREAM, 0);
+        setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+        bool is_free = fd >= 0 && bind(fd, (struct sockaddr *)&at, sizeof at) == 0 && listen(fd, 1) == 0;
+        close(fd);
+        if (is_free)
+            return port;
     }
-    close(fd);
-    return ntohs(at.sin_port);
+    fprintf(stderr, "no free port\n");
+    exit(2);
 }
 
 static void write_settings(unsigned node, int state_port, int cloud_port)
