--- a/review/kit-2/world.c
+++ b/review/kit-2/world.c
@@ -182,6 +182,14 @@
     fclose(f);
 }
 
+/* A case that cannot run, or that `timeout` ends, leaves nothing behind either. */
+static void on_signal(int number)
+{
+    (void)number;
+    world_end();
+    _exit(2);
+}
+
 void world_start(const site *chosen)
 {
     int state_ports[NODES_MAX] = {0};
@@ -194,6 +202,10 @@
         perror("mkdtemp");
         exit(2);
     }
+    atexit(world_end);
+    signal(SIGTERM, on_signal);
+    signal(SIGINT, on_signal);
+    signal(SIGHUP, on_signal);
     for (unsigned i = 0; i < settings.nodes; i++) {
         nodes[i].listen = free_port();
         nodes[i].back = free_port();
