Metrics: waits of requests for a thread, for a peer's connection and for forwarding

Neither logs nor metrics could say where their polls stay: in the queue for a request thread, before the connection to the peer, or at the peer.

New in `mulleinvalve_seconds`: `queue`, `peer_wait` and `forward`; new in `mulleinvalve_answers`: `forward`. A request carries the time at which it was received.

--- a/src/server/request_router.c
+++ b/src/server/request_router.c
@@ -114,12 +114,29 @@
     }
 }
 
+static double seconds(gint64 microseconds)
+{
+    return (double)microseconds / G_USEC_PER_SEC;
+}
+
+/* Forwards a user's request to the peers. Returns true with `response` if a peer has served it. */
+static bool forward(const mv_request_services *services, mv_forward_target target,
+                    const mv_http_request *request, mv_http_response *response)
+{
+    const double started = mv_monotonic_now();
+    const bool served = mv_peer_client_forward(services->peers, target, request, response);
+    mv_metrics_record_latency(MV_LATENCY_FORWARD, mv_monotonic_now() - started);
+    mv_metrics_record_status(MV_LATENCY_FORWARD, served ? response->status : MV_HTTP_STATUS_NONE);
+    return served;
+}
+
 /* Responds to a user's request about jobs. If this controller cannot decide the request, a peer's
  * response is used instead, provided that forwarding is allowed and a peer can respond. */
 static void route_job_request(const mv_request_services *services, const request_route *route,
                               const mv_http_request *request, mv_http_response *response)
 {
     const double started = mv_monotonic_now();
+    mv_metrics_record_latency(MV_LATENCY_QUEUE, started - seconds(request->received_us));
     const mv_forwarding forwarding = respond_to_job_request(services, route, request, response);
     const bool may_forward =
         response->status == MV_HTTP_STATUS_UNAVAILABLE && forwarding == MV_FORWARDING_ALLOWED;
@@ -127,7 +144,7 @@
     /* A peer of a version that knows no acknowledgements would confirm a cancellation too early. */
     const mv_forward_target target =
         route->kind == ROUTE_CANCEL_JOB ? MV_FORWARD_TO_ACKNOWLEDGING : MV_FORWARD_TO_ANY;
-    if (may_forward && mv_peer_client_forward(services->peers, target, request, &forwarded)) {
+    if (may_forward && forward(services, target, request, &forwarded)) {
         g_clear_pointer(&response->body, g_bytes_unref);
         *response = forwarded;
     }
--- a/src/telemetry/metrics.c
+++ b/src/telemetry/metrics.c
@@ -7,8 +7,9 @@
 #define STATUS_CLASSES 6 /* class 0: no response; classes 1 to 5: status 1xx to 5xx */
 
 /* Values of the label "what", in the order of mv_latency. They are part of the interface. */
-static const char *const NAMES[MV_LATENCIES] = {"submit", "poll",    "abort", "report",
-                                                "txn",    "command", "cloud", "acknowledge"};
+static const char *const NAMES[MV_LATENCIES] = {"submit", "poll",    "abort",    "report",
+                                                "txn",    "command", "cloud",    "acknowledge",
+                                                "queue",  "forward", "peer_wait"};
 
 /* Bounds of the buckets in seconds. They range from well below the time of one response to far
  * above every timeout. */
--- a/src/telemetry/metrics.h
+++ b/src/telemetry/metrics.h
@@ -19,6 +19,9 @@
     MV_LATENCY_COMMAND,
     MV_LATENCY_CLOUD,
     MV_LATENCY_ACKNOWLEDGEMENT, /**< wait of a cancellation for the owner of the job */
+    MV_LATENCY_QUEUE,           /**< wait of a user's request for a request thread */
+    MV_LATENCY_FORWARD,         /**< forwarding of a user's request to peers, until one serves it */
+    MV_LATENCY_PEER_WAIT,       /**< wait of a message to a peer for a connection */
     MV_LATENCIES                /* number of kinds */
 } mv_latency;
 
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -52,7 +52,8 @@
 
 typedef struct {
     struct MHD_Connection *connection;
-    GByteArray *body; /* NULL: the body was not accepted, or was passed to the handler */
+    gint64 received_us; /* as in mv_http_request */
+    GByteArray *body;   /* NULL: the body was not accepted, or was passed to the handler */
     size_t received_bytes;
     bool counts_as_large; /* one of the server's large_bodies */
     body_verdict verdict;
@@ -122,7 +123,8 @@
                    received_request *received)
 {
     g_autoptr(GBytes) body = g_byte_array_free_to_bytes(g_steal_pointer(&received->body));
-    const mv_http_request request = {.method = method, .path = path, .body = body};
+    const mv_http_request request = {
+        .method = method, .path = path, .body = body, .received_us = received->received_us};
     received->response.status = MV_HTTP_STATUS_INTERNAL_ERROR;
     server->handler.answer(server->handler.context, &request, &received->response);
 }
@@ -296,6 +298,7 @@
     if (!request) {
         request = g_new0(received_request, 1);
         request->body = g_byte_array_new();
+        request->received_us = g_get_monotonic_time();
         *slot = request;
         return MHD_YES;
     }
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -21,7 +21,8 @@
 /** A request that a handler answers. It is valid until the handler returns. */
 typedef struct {
     const char *method, *path;
-    GBytes *body; /**< empty if the request has no body; never NULL */
+    GBytes *body;       /**< empty if the request has no body; never NULL */
+    gint64 received_us; /**< monotonic time at which the request's headers were received */
 } mv_http_request;
 
 /** A response that a handler fills in. The server sets all fields to zero beforehand. */
--- a/src/transport/peer_connection.c
+++ b/src/transport/peer_connection.c
@@ -1,6 +1,7 @@
 /** The sending end of a connection between two controllers. */
 #include "transport/peer_connection.h"
 
+#include "telemetry/metrics.h"
 #include "transport/peer_frame.h"
 
 #include <errno.h>
@@ -138,9 +139,16 @@
     return response;
 }
 
+static double seconds_since(gint64 monotonic_us)
+{
+    return (double)(g_get_monotonic_time() - monotonic_us) / G_USEC_PER_SEC;
+}
+
 GBytes *mv_peer_call(mv_peer *peer, const uint8_t *frame, size_t size, unsigned timeout_ms)
 {
+    const gint64 called_us = g_get_monotonic_time();
     pthread_mutex_lock(&peer->lock);
+    mv_metrics_record_latency(MV_LATENCY_PEER_WAIT, seconds_since(called_us));
     GBytes *response = failed_recently(peer) ? NULL : send_request(peer, frame, size, timeout_ms);
     pthread_mutex_unlock(&peer->lock);
     return response;
