Forward requests to a peer on several connections instead of one at a time

Cause: all messages to a peer went over one connection, and mv_peer_call held that connection's lock for the whole exchange. With more jobs than MV_POLL_SHARE allows single reads for, a peer answers a poll after its next watch, up to 0.7 s later. So about three polls a second got through while eleven came, and each waited for all before it, long after its user had given up. Health checks and demands waited at the same lock.

Why it works: a pool of connections to each peer (transport/peer_pool.c). A call takes an idle connection or opens one, up to a limit, and no lock is held while a message is on the network. A call's timeout is one bound on the whole call, with the wait for a connection and the second attempt. Forwarded requests, health checks, demands, link reports and cancellations each have pools of their own, so none waits for the others. Acknowledgements of cancellations had the same lock on a connection of their own: now up to four at a time.

Limits: 24 connections for forwarded requests and 4 for cancellations to each peer. Peers of earlier versions accept 64 in all (62 from two peers), this version 128.

--- a/src/constants.h
+++ b/src/constants.h
@@ -890,8 +890,20 @@
  * partition.
  */
 #define MV_FRAME_BYTES_MAX (1024 * 1024)
-/** Maximum number of connections from peers, including old connections that are not closed yet. */
-#define MV_PEER_CONNECTIONS_MAX 64
+/**
+ * Maximum number of connections from peers, including old connections that are not closed yet. Two
+ * peers open up to 62 with the limits below.
+ */
+#define MV_PEER_CONNECTIONS_MAX 128
+/**
+ * Maximum number of connections to each peer for forwarded requests. Peers of earlier versions
+ * accept 64 connections.
+ */
+#define MV_FORWARD_CONNECTIONS_MAX 24u
+/** Maximum number of connections to each peer for cancellations that need an acknowledgement. */
+#define MV_CANCEL_CONNECTIONS_MAX 4u
+/** A connection to a peer that no message has used for this long is closed by the next message. */
+#define MV_PEER_IDLE_S 30.0
 
 /* --- Server: threads and timeouts --- */
 
--- a/src/server/cancellation_client.c
+++ b/src/server/cancellation_client.c
@@ -5,41 +5,25 @@
 
 #include "server/peer_client.h"
 
-#include <string.h>
-
 struct mv_cancellation_client {
-    const mv_settings *settings;
-    mv_peer **peers; /* in the order of settings->peers */
+    mv_peer_client *peers;
 };
 
 mv_cancellation_client *mv_cancellation_client_new(const mv_settings *settings)
 {
     mv_cancellation_client *client = g_new0(mv_cancellation_client, 1);
-    client->settings = settings;
-    client->peers = g_new0(mv_peer *, settings->peer_count + 1);
-    for (size_t i = 0; i < settings->peer_count; i++) {
-        client->peers[i] = mv_peer_new(&settings->peers[i].endpoint);
-        mv_peer_set_failure_pause(client->peers[i], MV_CANCEL_PEER_PAUSE_MS);
-    }
+    const mv_peer_limits limits = {.connections = MV_CANCEL_CONNECTIONS_MAX,
+                                   .failure_pause_ms = MV_CANCEL_PEER_PAUSE_MS};
+    client->peers = mv_peer_client_new(settings, &limits);
     return client;
 }
 
 void mv_cancellation_client_free(mv_cancellation_client *client)
 {
-    for (size_t i = 0; i < client->settings->peer_count; i++)
-        mv_peer_free(client->peers[i]);
-    g_free(client->peers);
+    mv_peer_client_free(client->peers);
     g_free(client);
 }
 
-static mv_peer *find_peer(const mv_cancellation_client *client, const char *name)
-{
-    for (size_t i = 0; i < client->settings->peer_count; i++)
-        if (strcmp(client->settings->peers[i].name, name) == 0)
-            return client->peers[i];
-    return NULL;
-}
-
 static GBytes *pack_request(const mv_shard_grant *grant, const char *job_id)
 {
     Mv__CancellationRequest cancellation = MV__CANCELLATION_REQUEST__INIT;
@@ -71,10 +55,11 @@
                                                       const mv_shard_grant *grant,
                                                       const char *job_id)
 {
-    mv_peer *peer = find_peer(client, grant->node);
-    if (!peer)
+    size_t peer;
+    if (!mv_peer_client_find(client->peers, grant->node, &peer))
         return MV_CANCELLATION_UNREACHABLE;
     g_autoptr(GBytes) request = pack_request(grant, job_id);
-    g_autoptr(Mv__PeerResponse) response = mv_peer_exchange(peer, request, MV_PEER_TIMEOUT_MS);
+    g_autoptr(Mv__PeerResponse) response =
+        mv_peer_client_exchange(client->peers, peer, request, MV_PEER_TIMEOUT_MS);
     return response ? read_answer(response) : MV_CANCELLATION_UNREACHABLE;
 }
--- a/src/server/cancellation_client.h
+++ b/src/server/cancellation_client.h
@@ -1,9 +1,9 @@
 /**
  * Asks the owners of shards on other controllers to acknowledge cancellations of jobs.
  *
- * Each peer has a connection of its own for this, so that users' requests which wait for a peer do
- * not delay cancellations. After a peer gave no response, it counts as unreachable for
- * MV_CANCEL_PEER_PAUSE_MS without being asked.
+ * Each peer has connections of its own for this, up to MV_CANCEL_CONNECTIONS_MAX, so that users'
+ * requests which wait for a peer do not delay cancellations. After a peer gave no response, it
+ * counts as unreachable for MV_CANCEL_PEER_PAUSE_MS without being asked.
  *
  * Thread-safe. mv_cancellation_client_request blocks on the network, so the caller must not hold
  * the controller's lock.
--- a/src/server/clocks.c
+++ b/src/server/clocks.c
@@ -27,12 +27,3 @@
     deadline.tv_nsec = (long)((deadline_s - (double)deadline.tv_sec) * NANOSECONDS_PER_SECOND);
     return deadline;
 }
-
-void mv_monotonic_cond_init(pthread_cond_t *cond)
-{
-    pthread_condattr_t attributes;
-    pthread_condattr_init(&attributes);
-    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
-    pthread_cond_init(cond, &attributes);
-    pthread_condattr_destroy(&attributes);
-}
--- a/src/server/clocks.h
+++ b/src/server/clocks.h
@@ -5,7 +5,6 @@
  */
 #ifndef MV_CLOCKS_H
 #define MV_CLOCKS_H
-#include <pthread.h>
 #include <time.h>
 
 /**
@@ -22,6 +21,4 @@
  * condition variable that mv_monotonic_cond_init has initialized.
  */
 struct timespec mv_monotonic_deadline(double seconds);
-/** Initializes a condition variable whose deadlines are times of the monotonic clock. */
-void mv_monotonic_cond_init(pthread_cond_t *cond);
 #endif
--- a/src/server/demand_publisher.c
+++ b/src/server/demand_publisher.c
@@ -4,21 +4,22 @@
 #include "server/demand_publisher.h"
 
 struct mv_demand_publisher {
-    mv_peer_client *peers;
+    mv_peer_client *peers; /* for demands only; owned */
     mv_shared_controller *controller;
 };
 
-mv_demand_publisher *mv_demand_publisher_new(mv_peer_client *peers,
+mv_demand_publisher *mv_demand_publisher_new(const mv_settings *settings,
                                              mv_shared_controller *controller)
 {
     mv_demand_publisher *publisher = g_new0(mv_demand_publisher, 1);
-    publisher->peers = peers;
+    publisher->peers = mv_peer_client_new(settings, &mv_peer_single_call);
     publisher->controller = controller;
     return publisher;
 }
 
 void mv_demand_publisher_free(mv_demand_publisher *publisher)
 {
+    mv_peer_client_free(publisher->peers);
     g_free(publisher);
 }
 
@@ -26,9 +27,12 @@
  * If no response arrives, the demand is dropped. */
 static void publish(mv_demand_publisher *publisher, const mv_action *action)
 {
+    size_t leader;
+    if (!mv_peer_client_find(publisher->peers, action->to, &leader))
+        return;
     g_autoptr(GBytes) request = mv_shard_demand_pack(action->demand);
     g_autoptr(Mv__PeerResponse) response =
-        mv_peer_client_exchange(publisher->peers, action->to, request, MV_PEER_TIMEOUT_MS);
+        mv_peer_client_exchange(publisher->peers, leader, request, MV_PEER_TIMEOUT_MS);
     if (!response)
         return;
     const mv_peer_demand peer_demand = {.idle_machines_needed = response->idle_machines_needed,
--- a/src/server/demand_publisher.h
+++ b/src/server/demand_publisher.h
@@ -10,9 +10,8 @@
 
 typedef struct mv_demand_publisher mv_demand_publisher;
 
-/** Borrows what it is given. The caller frees it. */
 /** Returns a publisher, which the caller frees. The arguments have to outlive the publisher. */
-mv_demand_publisher *mv_demand_publisher_new(mv_peer_client *peers,
+mv_demand_publisher *mv_demand_publisher_new(const mv_settings *settings,
                                              mv_shared_controller *controller);
 /** Frees the publisher. Its thread must have been joined before. */
 void mv_demand_publisher_free(mv_demand_publisher *publisher);
--- a/src/server/link_report_publisher.c
+++ b/src/server/link_report_publisher.c
@@ -9,13 +9,14 @@
 typedef struct {
     mv_link_report_publisher *publisher;
     const char *name; /* of the peer, as in the settings */
-    mv_peer *peer;    /* a connection for link reports only */
+    size_t peer;      /* index of the peer in the settings */
 } report_recipient;
 
 struct mv_link_report_publisher {
     const mv_settings *settings;
     mv_shared_controller *controller;
     mv_thread_group *threads;
+    mv_peer_client *peers;        /* for link reports only; owned */
     report_recipient *recipients; /* in the order of settings->peers */
 };
 
@@ -27,19 +28,17 @@
     publisher->settings = settings;
     publisher->controller = controller;
     publisher->threads = threads;
+    publisher->peers = mv_peer_client_new(settings, &mv_peer_single_call);
     publisher->recipients = g_new0(report_recipient, settings->peer_count + 1);
     for (size_t i = 0; i < settings->peer_count; i++)
         publisher->recipients[i] =
-            (report_recipient){.publisher = publisher,
-                               .name = settings->peers[i].name,
-                               .peer = mv_peer_new(&settings->peers[i].endpoint)};
+            (report_recipient){.publisher = publisher, .name = settings->peers[i].name, .peer = i};
     return publisher;
 }
 
 void mv_link_report_publisher_free(mv_link_report_publisher *publisher)
 {
-    for (size_t i = 0; i < publisher->settings->peer_count; i++)
-        mv_peer_free(publisher->recipients[i].peer);
+    mv_peer_client_free(publisher->peers);
     g_free(publisher->recipients);
     g_free(publisher);
 }
@@ -55,8 +54,8 @@
     g_autoptr(mv_link_report) report = mv_controller_link_report(controller, sent);
     mv_shared_controller_unlock(shared);
     g_autoptr(GBytes) request = mv_link_report_pack(report);
-    g_autoptr(Mv__PeerResponse) response =
-        mv_peer_exchange(recipient->peer, request, MV_LINK_REPORT_TIMEOUT_MS);
+    g_autoptr(Mv__PeerResponse) response = mv_peer_client_exchange(
+        recipient->publisher->peers, recipient->peer, request, MV_LINK_REPORT_TIMEOUT_MS);
     controller = mv_shared_controller_lock(shared, &now);
     mv_controller_peer_probed(controller, now, recipient->name, sent, response != NULL);
     if (response && response->link_report)
--- a/src/server/peer_health.h
+++ b/src/server/peer_health.h
@@ -2,18 +2,18 @@
  * The thread that checks whether any peer responds while the state service is out of reach.
  *
  * This controller's health endpoint has to respond at once, so the thread asks the peers in advance
- * and the endpoint reads the result of the last check.
+ * and the endpoint reads the result of the last check. The checks have connections of their own.
  */
 #ifndef MV_PEER_HEALTH_H
 #define MV_PEER_HEALTH_H
-#include "server/peer_client.h"
+#include "config/settings.h"
 #include "server/shared_controller.h"
 #include "server/thread_group.h"
 
 typedef struct mv_peer_health mv_peer_health;
 
 /** Returns a health check, which the caller frees. The arguments have to outlive the check. */
-mv_peer_health *mv_peer_health_new(mv_peer_client *peers, mv_shared_controller *controller,
+mv_peer_health *mv_peer_health_new(const mv_settings *settings, mv_shared_controller *controller,
                                    mv_thread_group *threads);
 /** Frees the health check. Its thread must have been joined before. */
 void mv_peer_health_free(mv_peer_health *health);
--- a/src/server/request.h
+++ b/src/server/request.h
@@ -5,8 +5,8 @@
 #define MV_REQUEST_H
 #include "server/cancellation_client.h"
 #include "server/final_job_cache.h"
-#include "server/peer_client.h"
 #include "server/peer_health.h"
+#include "server/request_forwarder.h"
 #include "server/shared_controller.h"
 #include "server/state_watch.h"
 #include "storage/state_store.h"
@@ -28,7 +28,7 @@
     mv_state_store *state_store;
     mv_state_watch *state_watch;
     mv_final_job_cache *final_jobs;
-    mv_peer_client *peers;
+    mv_request_forwarder *forwarder;
     mv_cancellation_client *cancellations;
     mv_peer_health *peer_health;
     mv_http_server *http_server; /* set before the HTTP server accepts connections */
--- /dev/null
+++ b/src/server/request_forwarder.h
@@ -0,0 +1,38 @@
+/**
+ * Forwards users' requests that this controller cannot serve to its peers.
+ *
+ * Up to MV_FORWARD_CONNECTIONS_MAX requests are in flight to each peer at the same time. A peer may
+ * answer a poll only after its next watch, so requests that waited for one another would not be
+ * answered before their users give up.
+ *
+ * Thread-safe. mv_request_forwarder_forward blocks on the network, so the caller must not hold the
+ * controller's lock.
+ */
+#ifndef MV_REQUEST_FORWARDER_H
+#define MV_REQUEST_FORWARDER_H
+#include "config/settings.h"
+#include "transport/http_server.h"
+
+typedef struct mv_request_forwarder mv_request_forwarder;
+
+/** Returns a forwarder, which the caller frees. `settings` has to outlive the forwarder. */
+mv_request_forwarder *mv_request_forwarder_new(const mv_settings *settings);
+/** Closes the connections and frees the forwarder. No thread may use the forwarder any more. */
+void mv_request_forwarder_free(mv_request_forwarder *forwarder);
+
+/** Which peers may serve a forwarded request. */
+typedef enum {
+    MV_FORWARD_TO_ANY,
+    MV_FORWARD_TO_ACKNOWLEDGING /**< peers of versions whose answer to a cancellation rests on the
+                                   owner's acknowledgement; other peers do not serve the request */
+} mv_forward_target;
+
+/**
+ * Forwards a user's request to one peer after the other until a peer serves the request. A peer
+ * that does not respond or responds with MV_HTTP_STATUS_UNAVAILABLE has not served the request.
+ * Returns true with the status and the body, which the caller owns, in `response`; returns false,
+ * with `response` unchanged, if no peer serves the request.
+ */
+bool mv_request_forwarder_forward(mv_request_forwarder *forwarder, mv_forward_target target,
+                                  const mv_http_request *user_request, mv_http_response *response);
+#endif
--- a/src/server/request_router.c
+++ b/src/server/request_router.c
@@ -124,7 +124,8 @@
                     const mv_http_request *request, mv_http_response *response)
 {
     const double started = mv_monotonic_now();
-    const bool served = mv_peer_client_forward(services->peers, target, request, response);
+    const bool served =
+        mv_request_forwarder_forward(services->forwarder, target, request, response);
     mv_metrics_record_latency(MV_LATENCY_FORWARD, mv_monotonic_now() - started);
     mv_metrics_record_status(MV_LATENCY_FORWARD, served ? response->status : MV_HTTP_STATUS_NONE);
     return served;
--- a/src/server/server.c
+++ b/src/server/server.c
@@ -27,7 +27,7 @@
     mv_transaction_executor *transactions;
     mv_command_executor *commands;
     mv_cloud_executor *cloud;
-    mv_peer_client *peers;
+    mv_request_forwarder *forwarder;
     mv_cancellation_client *cancellations;
     mv_peer_health *peer_health;
     mv_demand_publisher *demands;
@@ -95,10 +95,10 @@
     server->transactions = mv_transaction_executor_new(server->controller, server->state_store);
     server->commands = mv_command_executor_new(settings, server->controller, server->threads);
     server->cloud = mv_cloud_executor_new(settings, server->controller, server->threads);
-    server->peers = mv_peer_client_new(settings);
+    server->forwarder = mv_request_forwarder_new(settings);
     server->cancellations = mv_cancellation_client_new(settings);
-    server->peer_health = mv_peer_health_new(server->peers, server->controller, server->threads);
-    server->demands = mv_demand_publisher_new(server->peers, server->controller);
+    server->peer_health = mv_peer_health_new(settings, server->controller, server->threads);
+    server->demands = mv_demand_publisher_new(settings, server->controller);
     server->link_reports =
         mv_link_report_publisher_new(settings, server->controller, server->threads);
     server->final_jobs = mv_final_job_cache_new();
@@ -107,7 +107,7 @@
                                              .state_store = server->state_store,
                                              .state_watch = server->state_watch,
                                              .final_jobs = server->final_jobs,
-                                             .peers = server->peers,
+                                             .forwarder = server->forwarder,
                                              .cancellations = server->cancellations,
                                              .peer_health = server->peer_health};
     return server;
@@ -122,7 +122,7 @@
     mv_demand_publisher_free(server->demands);
     mv_peer_health_free(server->peer_health);
     mv_cancellation_client_free(server->cancellations);
-    mv_peer_client_free(server->peers);
+    mv_request_forwarder_free(server->forwarder);
     mv_cloud_executor_free(server->cloud);
     mv_command_executor_free(server->commands);
     mv_transaction_executor_free(server->transactions);
--- a/src/server/state_watch.c
+++ b/src/server/state_watch.c
@@ -6,6 +6,7 @@
 #include "server/clocks.h"
 #include "server/revision_history.h"
 #include "telemetry/log.h"
+#include "transport/threads.h"
 
 #define SESSION_POLLS_PER_RETRY 4 /* polls for the first session in MV_SESSION_RETRY_S */
 #define MILLISECONDS_PER_SECOND 1000.0
--- a/src/server/thread_group.c
+++ b/src/server/thread_group.c
@@ -5,6 +5,7 @@
 
 #include "constants.h"
 #include "server/clocks.h"
+#include "transport/threads.h"
 
 #include <glib.h>
 #include <pthread.h>
--- a/src/transport/peer_server.c
+++ b/src/transport/peer_server.c
@@ -3,13 +3,13 @@
 
 #include "constants.h"
 #include "transport/peer_frame.h"
+#include "transport/peer_socket.h"
 #include "transport/threads.h"
 
 #include <pthread.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define LISTEN_BACKLOG 16
 #define ACCEPT_RETRY_US (50 * 1000)
 
 struct mv_peer_server {
@@ -35,7 +35,7 @@
 {
     const mv_peer_server *server = connection->server;
     size_t size;
-    g_autofree uint8_t *frame = mv_peer_frame_read(connection->fd, &size);
+    g_autofree uint8_t *frame = mv_peer_frame_read(connection->fd, &size, MV_PEER_NO_DEADLINE);
     if (!frame)
         return false;
     g_autoptr(GBytes) response = server->handler(server->context, frame, size);
@@ -43,7 +43,7 @@
         return false;
     gsize response_size;
     const uint8_t *bytes = g_bytes_get_data(response, &response_size);
-    return mv_peer_frame_write(connection->fd, bytes, response_size);
+    return mv_peer_frame_write(connection->fd, bytes, response_size, MV_PEER_NO_DEADLINE);
 }
 
 /* Serves one connection until the connection ends, then closes the socket and frees the record. */
@@ -116,7 +116,7 @@
     (void)setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
     if (mv_peer_socket_address(at, &address) &&
         bind(fd, (struct sockaddr *)&address, sizeof address) == 0 &&
-        listen(fd, LISTEN_BACKLOG) == 0)
+        listen(fd, MV_PEER_CONNECTIONS_MAX) == 0)
         return fd;
     close(fd);
     return -1;
--- a/src/transport/threads.c
+++ b/src/transport/threads.c
@@ -1,8 +1,10 @@
-/** Starts threads with a small stack. */
+/** Threads with a small stack, and waits on the monotonic clock. */
 #include "transport/threads.h"
 
 #include "constants.h"
 
+#define NANOSECONDS_PER_MICROSECOND 1000
+
 unsigned mv_threads_start(pthread_t *threads, unsigned count, mv_thread_fn run, void *argument)
 {
     pthread_attr_t attributes;
@@ -26,3 +28,20 @@
     pthread_attr_destroy(&attributes);
     return started;
 }
+
+void mv_monotonic_cond_init(pthread_cond_t *cond)
+{
+    pthread_condattr_t attributes;
+    pthread_condattr_init(&attributes);
+    pthread_condattr_setclock(&attributes, CLOCK_MONOTONIC);
+    pthread_cond_init(cond, &attributes);
+    pthread_condattr_destroy(&attributes);
+}
+
+bool mv_monotonic_cond_wait(pthread_cond_t *cond, pthread_mutex_t *lock, gint64 deadline_us)
+{
+    const struct timespec deadline = {
+        .tv_sec = (time_t)(deadline_us / G_USEC_PER_SEC),
+        .tv_nsec = (long)(deadline_us % G_USEC_PER_SEC * NANOSECONDS_PER_MICROSECOND)};
+    return pthread_cond_timedwait(cond, lock, &deadline) == 0;
+}
