A request does not wait for a thread of the state service's pool beyond its timeout

What callers saw: after the state service has fallen silent for one controller, requests of its users wait one behind the other for the 8 threads of the pool, 1.5 s each, also those whose users have given up long ago; all request threads stay in that queue while the controller already forwards newer requests.

Cause: mv_request_pool_call waited for a thread without a limit; the timeout counted from the sending.

Why it works: a request that no thread has taken within its timeout is removed from the queue and gets no response, as a request whose response did not arrive; a transaction that was not sent is treated like one whose result is unknown.

--- a/src/storage/request_pool.c
+++ b/src/storage/request_pool.c
@@ -1,16 +1,21 @@
 /** Pool of threads that send HTTP requests on behalf of short-lived threads. */
 #include "storage/request_pool.h"
 
+#include "protocol/http_status.h"
 #include "transport/threads.h"
 
 #include <pthread.h>
 
-/* A request in the queue. The request is on the stack of the calling thread, which blocks until a
- * thread of the pool has set `done`. */
+#define MICROSECONDS_PER_MILLISECOND 1000
+
+typedef enum { PENDING_QUEUED, PENDING_SENT, PENDING_COMPLETED } pending_state;
+
+/* A request on the stack of the calling thread, which blocks until a thread of the pool has
+ * completed the request, or until the request has been in the queue for too long. */
 typedef struct {
     const mv_http_request *request;
     mv_http_result *result;
-    bool done;
+    pending_state state;
     pthread_cond_t completed;
 } pending_request;
 
@@ -39,10 +44,11 @@
     pending_request *pending;
     pthread_mutex_lock(&pool->lock);
     while ((pending = next_request(pool))) {
+        pending->state = PENDING_SENT;
         pthread_mutex_unlock(&pool->lock);
         mv_request_pool_call_directly(pool, pending->request, pending->result);
         pthread_mutex_lock(&pool->lock);
-        pending->done = true;
+        pending->state = PENDING_COMPLETED;
         pthread_cond_signal(&pending->completed);
     }
     pthread_mutex_unlock(&pool->lock);
@@ -83,6 +89,18 @@
                  result);
 }
 
+/* Waits until the request is completed. Removes the request from the queue, without a response, if
+ * no thread of the pool has taken it by the deadline. The caller holds the lock. */
+static void await_completion(mv_request_pool *pool, pending_request *pending, gint64 deadline_us)
+{
+    while (pending->state == PENDING_QUEUED)
+        if (!mv_monotonic_cond_wait(&pending->completed, &pool->lock, deadline_us) &&
+            g_queue_remove(&pool->requests, pending))
+            return;
+    while (pending->state == PENDING_SENT)
+        pthread_cond_wait(&pending->completed, &pool->lock);
+}
+
 void mv_request_pool_call(mv_request_pool *pool, const mv_http_request *request,
                           mv_http_result *result)
 {
@@ -90,13 +108,16 @@
         mv_request_pool_call_directly(pool, request, result);
         return;
     }
+    const gint64 deadline_us =
+        g_get_monotonic_time() + (gint64)request->timeout_ms * MICROSECONDS_PER_MILLISECOND;
     pending_request pending = {.request = request, .result = result};
-    pthread_cond_init(&pending.completed, NULL);
+    mv_monotonic_cond_init(&pending.completed);
     pthread_mutex_lock(&pool->lock);
     g_queue_push_tail(&pool->requests, &pending);
     pthread_cond_signal(&pool->request_available);
-    while (!pending.done)
-        pthread_cond_wait(&pending.completed, &pool->lock);
+    await_completion(pool, &pending, deadline_us);
     pthread_mutex_unlock(&pool->lock);
     pthread_cond_destroy(&pending.completed);
+    if (pending.state != PENDING_COMPLETED)
+        *result = (mv_http_result){.status = MV_HTTP_STATUS_NONE, .body = g_bytes_new(NULL, 0)};
 }
--- a/src/storage/request_pool.h
+++ b/src/storage/request_pool.h
@@ -38,7 +38,10 @@
 
 /**
  * Sends the request from a thread of the pool and waits for the response. If the pool has no
- * thread, the calling thread sends the request. The caller clears `result` with
+ * thread, the calling thread sends the request. If all threads are busy for `timeout_ms`, the
+ * request is not sent and gets no response: while the state service is silent, each request holds a
+ * thread for `timeout_ms`, and the callers behind it would wait many times as long. The caller
+ * clears `result` with
  * mv_http_result_clear.
  */
 void mv_request_pool_call(mv_request_pool *pool, const mv_http_request *request,
