Forward a request only while its user waits, and to the peer that can serve it

What callers saw: while a controller does not reach the state service and its first peer is slow, paused or cut off, its users get no answer, although another peer would serve them; polls whose users have given up are decided and passed on all the same, before newer ones.

Cause: peers were tried in the order of the settings, each for up to MV_FORWARD_TIMEOUT_MS of 1.5 s, without regard to the 2 s that a user waits for a poll. Nothing knew when a request had arrived.

Why it works: a request has a deadline, the time at which its user gives up (2 s for a poll, 5 s otherwise) less 0.1 s for the way back. The time that is left is shared among the peers that may respond, at least as much as a poll waits for a watch. Health checks now ask every peer and keep whether it responds and reaches the state service; those are tried first, the silent ones last, and among equals the one with fewer requests in flight. A poll past its deadline is neither decided nor forwarded; a submission or cancellation past it is decided by this controller, for it takes effect and its user repeats it, but not forwarded.

--- a/src/constants.h
+++ b/src/constants.h
@@ -883,7 +883,8 @@
 
 /** A peer has this long to respond to a message. */
 #define MV_PEER_TIMEOUT_MS 600
-/** A peer has this long to respond to a user's request that this controller has forwarded. */
+/** A peer has at most this long to respond to a user's request that this controller has forwarded.
+ */
 #define MV_FORWARD_TIMEOUT_MS 1500
 /**
  * Maximum bytes of a message between controllers; demand takes 87 bytes for each machine of a
@@ -952,6 +953,12 @@
 
 /* --- Server: requests of users --- */
 
+/** A user waits this long for the response to a poll (see the protocol page). */
+#define MV_USER_POLL_TIMEOUT_MS 2000
+/** A user waits this long for the response to a submission or cancellation. */
+#define MV_USER_CHANGE_TIMEOUT_MS 5000
+/** Time that a response takes from this controller to the user. */
+#define MV_USER_RESPONSE_MS 100
 /** Users poll a job roughly this often (see the protocol page). */
 #define MV_POLL_INTERVAL_S 5.0
 /**
--- a/src/server/peer_health.c
+++ b/src/server/peer_health.c
@@ -1,5 +1,5 @@
 /**
- * Checks whether any peer responds while the state service is out of reach.
+ * Checks the peers while the state service is out of reach.
  */
 #include "server/peer_health.h"
 
@@ -10,7 +10,7 @@
     mv_peer_client *peers; /* for health checks only; owned */
     mv_shared_controller *controller;
     mv_thread_group *threads;
-    gint any_reachable; /* atomic; result of the last check */
+    gint *states; /* atomic mv_peer_state, in the order of settings->peers; owned */
 };
 
 mv_peer_health *mv_peer_health_new(const mv_settings *settings, mv_shared_controller *controller,
@@ -19,6 +19,9 @@
     mv_peer_health *health = g_new0(mv_peer_health, 1);
     health->settings = settings;
     health->peers = mv_peer_client_new(settings, &mv_peer_single_call);
+    health->states = g_new(gint, settings->peer_count + 1);
+    for (size_t i = 0; i < settings->peer_count; i++)
+        health->states[i] = MV_PEER_UNCHECKED;
     health->controller = controller;
     health->threads = threads;
     return health;
@@ -27,6 +30,7 @@
 void mv_peer_health_free(mv_peer_health *health)
 {
     mv_peer_client_free(health->peers);
+    g_free(health->states);
     g_free(health);
 }
 
@@ -38,18 +42,21 @@
     return mv_peer_request_pack(&request);
 }
 
-/* Sends health checks to one peer after the other until a peer responds. Returns whether a peer
- * responded; true if the settings name no peers. */
-static bool any_peer_responds(const mv_peer_health *health)
+static mv_peer_state check_peer(const mv_peer_health *health, size_t peer, GBytes *request)
+{
+    g_autoptr(Mv__PeerResponse) response =
+        mv_peer_client_exchange(health->peers, peer, request, MV_PEER_TIMEOUT_MS);
+    if (!response)
+        return MV_PEER_SILENT;
+    return response->healthy ? MV_PEER_SERVING : MV_PEER_WITHOUT_STATE;
+}
+
+/* Sends a health check to one peer after the other. */
+static void check_peers(mv_peer_health *health)
 {
     g_autoptr(GBytes) request = pack_health_check();
-    for (size_t peer = 0; peer < health->settings->peer_count; peer++) {
-        g_autoptr(Mv__PeerResponse) response =
-            mv_peer_client_exchange(health->peers, peer, request, MV_PEER_TIMEOUT_MS);
-        if (response)
-            return true;
-    }
-    return health->settings->peer_count == 0;
+    for (size_t peer = 0; peer < health->settings->peer_count; peer++)
+        g_atomic_int_set(&health->states[peer], (gint)check_peer(health, peer, request));
 }
 
 /* Sends health checks to the peers while the state service is out of reach. */
@@ -58,7 +65,7 @@
     mv_peer_health *health = context;
     do {
         if (!mv_shared_controller_state_reachable(health->controller))
-            g_atomic_int_set(&health->any_reachable, any_peer_responds(health));
+            check_peers(health);
     } while (mv_thread_group_sleep(health->threads, MV_PEER_HEALTH_INTERVAL_S));
 }
 
@@ -67,7 +74,17 @@
     return mv_thread_group_start(health->threads, run_health_checks, health);
 }
 
-bool mv_peer_health_any_reachable(mv_peer_health *health)
+mv_peer_state mv_peer_health_state(const mv_peer_health *health, size_t peer)
 {
-    return g_atomic_int_get(&health->any_reachable);
+    return (mv_peer_state)g_atomic_int_get(&health->states[peer]);
+}
+
+bool mv_peer_health_any_reachable(const mv_peer_health *health)
+{
+    bool any = health->settings->peer_count == 0;
+    for (size_t i = 0; i < health->settings->peer_count; i++) {
+        const mv_peer_state state = mv_peer_health_state(health, i);
+        any |= state == MV_PEER_SERVING || state == MV_PEER_WITHOUT_STATE;
+    }
+    return any;
 }
--- a/src/server/request_forwarder.c
+++ b/src/server/request_forwarder.c
@@ -6,16 +6,22 @@
 #include "protocol/http_status.h"
 #include "server/peer_client.h"
 
+#define MICROSECONDS_PER_MILLISECOND 1000
+#define MILLISECONDS_PER_SECOND 1000
+
 struct mv_request_forwarder {
     const mv_settings *settings;
+    const mv_peer_health *health;
     mv_peer_client *peers; /* for forwarded requests only; owned */
 };
 
-mv_request_forwarder *mv_request_forwarder_new(const mv_settings *settings)
+mv_request_forwarder *mv_request_forwarder_new(const mv_settings *settings,
+                                               const mv_peer_health *health)
 {
     const mv_peer_limits limits = {.connections = MV_FORWARD_CONNECTIONS_MAX};
     mv_request_forwarder *forwarder = g_new0(mv_request_forwarder, 1);
     forwarder->settings = settings;
+    forwarder->health = health;
     forwarder->peers = mv_peer_client_new(settings, &limits);
     return forwarder;
 }
@@ -26,6 +32,8 @@
     g_free(forwarder);
 }
 
+/* --- messages --- */
+
 /* Returns the body of a request as a field of a message, which borrows the bytes. */
 static ProtobufCBinaryData body_field(GBytes *body)
 {
@@ -57,20 +65,97 @@
            answer->status != MV_HTTP_STATUS_UNAVAILABLE;
 }
 
+/* --- choice of the peer --- */
+
+/* The forwarding of one request. */
+typedef struct {
+    mv_request_forwarder *forwarder;
+    GBytes *request;
+    gint64 deadline_us;
+    bool *tried; /* by index of the peer */
+} forwarding;
+
+/* Returns whether peer `a` is to be tried before peer `b`: the one that the health checks found in
+ * the better state, or the one with fewer requests in flight. */
+static bool is_preferred(const mv_request_forwarder *forwarder, size_t a, size_t b)
+{
+    const mv_peer_state state_a = mv_peer_health_state(forwarder->health, a);
+    const mv_peer_state state_b = mv_peer_health_state(forwarder->health, b);
+    if (state_a != state_b)
+        return state_a > state_b;
+    return mv_peer_client_load(forwarder->peers, a) < mv_peer_client_load(forwarder->peers, b);
+}
+
+/* Finds the peer that is to be tried next. Returns false if all have been tried. */
+static bool choose_peer(const forwarding *forwarding, size_t *chosen)
+{
+    bool found = false;
+    for (size_t i = 0; i < forwarding->forwarder->settings->peer_count; i++) {
+        if (forwarding->tried[i] || (found && !is_preferred(forwarding->forwarder, i, *chosen)))
+            continue;
+        *chosen = i;
+        found = true;
+    }
+    return found;
+}
+
+/* Returns how many of the peers that have not been tried may be expected to respond. */
+static unsigned count_responsive(const forwarding *forwarding)
+{
+    unsigned count = 0;
+    for (size_t i = 0; i < forwarding->forwarder->settings->peer_count; i++)
+        count += !forwarding->tried[i] &&
+                 mv_peer_health_state(forwarding->forwarder->health, i) != MV_PEER_SILENT;
+    return count;
+}
+
+/* Returns the time for the next peer: an equal share of the time that is left, so that a peer which
+ * does not respond leaves time for the others, but enough for a poll that waits for the peer's next
+ * watch. 0: no time is left. */
+static unsigned time_share_ms(const forwarding *forwarding)
+{
+    const gint64 left_ms =
+        (forwarding->deadline_us - g_get_monotonic_time()) / MICROSECONDS_PER_MILLISECOND;
+    const gint64 share_ms = left_ms / (gint64)MAX(count_responsive(forwarding), 1);
+    const gint64 sufficient_ms =
+        MAX(share_ms, (gint64)(MV_POLL_WAIT_MAX_S * MILLISECONDS_PER_SECOND));
+    return (unsigned)CLAMP(MIN(sufficient_ms, left_ms), 0, MV_FORWARD_TIMEOUT_MS);
+}
+
+/* --- forwarding --- */
+
+/* Sends the request to one peer. Returns whether the peer has served it; if so, fills in the
+ * response. */
+static bool forward_to(const forwarding *forwarding, size_t peer, unsigned timeout_ms,
+                       mv_http_response *response)
+{
+    g_autoptr(Mv__PeerResponse) answer = mv_peer_client_exchange(forwarding->forwarder->peers, peer,
+                                                                 forwarding->request, timeout_ms);
+    if (!has_served(answer))
+        return false;
+    *response = (mv_http_response){
+        .status = (int)answer->status,
+        .body = g_bytes_new(answer->body.data, answer->body.len),
+    };
+    return true;
+}
+
 bool mv_request_forwarder_forward(mv_request_forwarder *forwarder, mv_forward_target target,
-                                  const mv_http_request *user_request, mv_http_response *response)
+                                  const mv_http_request *user_request, gint64 deadline_us,
+                                  mv_http_response *response)
 {
     g_autoptr(GBytes) request = pack_request(target, user_request);
-    for (size_t peer = 0; peer < forwarder->settings->peer_count; peer++) {
-        g_autoptr(Mv__PeerResponse) answer =
-            mv_peer_client_exchange(forwarder->peers, peer, request, MV_FORWARD_TIMEOUT_MS);
-        if (!has_served(answer))
-            continue;
-        *response = (mv_http_response){
-            .status = (int)answer->status,
-            .body = g_bytes_new(answer->body.data, answer->body.len),
-        };
-        return true;
+    g_autofree bool *tried = g_new0(bool, forwarder->settings->peer_count + 1);
+    const forwarding forwarding = {
+        .forwarder = forwarder, .request = request, .deadline_us = deadline_us, .tried = tried};
+    size_t peer = 0;
+    while (choose_peer(&forwarding, &peer)) {
+        const unsigned timeout_ms = time_share_ms(&forwarding);
+        if (timeout_ms == 0)
+            return false;
+        if (forward_to(&forwarding, peer, timeout_ms, response))
+            return true;
+        tried[peer] = true;
     }
     return false;
 }
--- a/src/server/request_forwarder.h
+++ b/src/server/request_forwarder.h
@@ -5,18 +5,24 @@
  * answer a poll only after its next watch, so requests that waited for one another would not be
  * answered before their users give up.
  *
+ * The time until the user gives up is divided among the peers, and those that the health checks
+ * found to reach the state service are tried first, so that a slow, paused or isolated peer does
+ * not use up the time of the others.
+ *
  * Thread-safe. mv_request_forwarder_forward blocks on the network, so the caller must not hold the
  * controller's lock.
  */
 #ifndef MV_REQUEST_FORWARDER_H
 #define MV_REQUEST_FORWARDER_H
 #include "config/settings.h"
+#include "server/peer_health.h"
 #include "transport/http_server.h"
 
 typedef struct mv_request_forwarder mv_request_forwarder;
 
-/** Returns a forwarder, which the caller frees. `settings` has to outlive the forwarder. */
-mv_request_forwarder *mv_request_forwarder_new(const mv_settings *settings);
+/** Returns a forwarder, which the caller frees. The arguments have to outlive the forwarder. */
+mv_request_forwarder *mv_request_forwarder_new(const mv_settings *settings,
+                                               const mv_peer_health *health);
 /** Closes the connections and frees the forwarder. No thread may use the forwarder any more. */
 void mv_request_forwarder_free(mv_request_forwarder *forwarder);
 
@@ -28,11 +34,13 @@
 } mv_forward_target;
 
 /**
- * Forwards a user's request to one peer after the other until a peer serves the request. A peer
- * that does not respond or responds with MV_HTTP_STATUS_UNAVAILABLE has not served the request.
- * Returns true with the status and the body, which the caller owns, in `response`; returns false,
- * with `response` unchanged, if no peer serves the request.
+ * Forwards a user's request to one peer after the other until a peer serves the request, or until
+ * the monotonic time `deadline_us`, at which the user does not wait any more. A peer that does not
+ * respond or responds with MV_HTTP_STATUS_UNAVAILABLE has not served the request. Returns true with
+ * the status and the body, which the caller owns, in `response`; returns false, with `response`
+ * unchanged, if no peer serves the request.
  */
 bool mv_request_forwarder_forward(mv_request_forwarder *forwarder, mv_forward_target target,
-                                  const mv_http_request *user_request, mv_http_response *response);
+                                  const mv_http_request *user_request, gint64 deadline_us,
+                                  mv_http_response *response);
 #endif
--- a/src/server/request_router.c
+++ b/src/server/request_router.c
@@ -14,6 +14,8 @@
 
 #include <string.h>
 
+#define MICROSECONDS_PER_MILLISECOND 1000
+
 /* --- routes --- */
 
 typedef enum {
@@ -119,33 +121,50 @@
     return (double)microseconds / G_USEC_PER_SEC;
 }
 
+/* Returns the monotonic time by which the response has to be sent, so that it arrives while the
+ * user waits for it. */
+static gint64 response_deadline_us(route_kind kind, const mv_http_request *request)
+{
+    const gint64 timeout_ms =
+        kind == ROUTE_POLL_JOB ? MV_USER_POLL_TIMEOUT_MS : MV_USER_CHANGE_TIMEOUT_MS;
+    return request->received_us + (timeout_ms - MV_USER_RESPONSE_MS) * MICROSECONDS_PER_MILLISECOND;
+}
+
 /* Forwards a user's request to the peers. Returns true with `response` if a peer has served it. */
-static bool forward(const mv_request_services *services, mv_forward_target target,
+static bool forward(const mv_request_services *services, route_kind kind,
                     const mv_http_request *request, mv_http_response *response)
 {
+    /* A peer of a version that knows no acknowledgements would confirm a cancellation too early. */
+    const mv_forward_target target =
+        kind == ROUTE_CANCEL_JOB ? MV_FORWARD_TO_ACKNOWLEDGING : MV_FORWARD_TO_ANY;
     const double started = mv_monotonic_now();
-    const bool served =
-        mv_request_forwarder_forward(services->forwarder, target, request, response);
+    const bool served = mv_request_forwarder_forward(services->forwarder, target, request,
+                                                     response_deadline_us(kind, request), response);
     mv_metrics_record_latency(MV_LATENCY_FORWARD, mv_monotonic_now() - started);
     mv_metrics_record_status(MV_LATENCY_FORWARD, served ? response->status : MV_HTTP_STATUS_NONE);
     return served;
 }
 
 /* Responds to a user's request about jobs. If this controller cannot decide the request, a peer's
- * response is used instead, provided that forwarding is allowed and a peer can respond. */
+ * response is used instead, provided that forwarding is allowed and a peer can respond. A poll
+ * whose user has given up is not decided. A submission or cancellation is, because it takes effect
+ * and its user repeats it. */
 static void route_job_request(const mv_request_services *services, const request_route *route,
                               const mv_http_request *request, mv_http_response *response)
 {
     const double started = mv_monotonic_now();
     mv_metrics_record_latency(MV_LATENCY_QUEUE, started - seconds(request->received_us));
-    const mv_forwarding forwarding = respond_to_job_request(services, route, request, response);
+    const bool given_up = route->kind == ROUTE_POLL_JOB &&
+                          g_get_monotonic_time() >= response_deadline_us(route->kind, request);
+    mv_forwarding forwarding = MV_FORWARDING_FORBIDDEN;
+    if (given_up)
+        mv_response_error(response, MV_HTTP_STATUS_UNAVAILABLE, "too late", NULL);
+    else
+        forwarding = respond_to_job_request(services, route, request, response);
     const bool may_forward =
         response->status == MV_HTTP_STATUS_UNAVAILABLE && forwarding == MV_FORWARDING_ALLOWED;
     mv_http_response forwarded = {0};
-    /* A peer of a version that knows no acknowledgements would confirm a cancellation too early. */
-    const mv_forward_target target =
-        route->kind == ROUTE_CANCEL_JOB ? MV_FORWARD_TO_ACKNOWLEDGING : MV_FORWARD_TO_ANY;
-    if (may_forward && forward(services, target, request, &forwarded)) {
+    if (may_forward && forward(services, route->kind, request, &forwarded)) {
         g_clear_pointer(&response->body, g_bytes_unref);
         *response = forwarded;
     }
--- a/src/server/server.c
+++ b/src/server/server.c
@@ -95,9 +95,9 @@
     server->transactions = mv_transaction_executor_new(server->controller, server->state_store);
     server->commands = mv_command_executor_new(settings, server->controller, server->threads);
     server->cloud = mv_cloud_executor_new(settings, server->controller, server->threads);
-    server->forwarder = mv_request_forwarder_new(settings);
     server->cancellations = mv_cancellation_client_new(settings);
     server->peer_health = mv_peer_health_new(settings, server->controller, server->threads);
+    server->forwarder = mv_request_forwarder_new(settings, server->peer_health);
     server->demands = mv_demand_publisher_new(settings, server->controller);
     server->link_reports =
         mv_link_report_publisher_new(settings, server->controller, server->threads);
@@ -120,9 +120,9 @@
     mv_final_job_cache_free(server->final_jobs);
     mv_link_report_publisher_free(server->link_reports);
     mv_demand_publisher_free(server->demands);
-    mv_peer_health_free(server->peer_health);
     mv_cancellation_client_free(server->cancellations);
     mv_request_forwarder_free(server->forwarder);
+    mv_peer_health_free(server->peer_health);
     mv_cloud_executor_free(server->cloud);
     mv_command_executor_free(server->commands);
     mv_transaction_executor_free(server->transactions);
--- a/tests/test_forwarding.c
+++ b/tests/test_forwarding.c
@@ -14,6 +14,8 @@
 /* A user who gets no answer in this many polls counts as one who gets none for 90 s. */
 #define ROUNDS 5
 #define RUN_S 3600
+/* A network between the controllers that is slow, but leaves time for an answer. */
+#define SLOW_LINK_MS 150
 
 /* --- the cluster --- */
 
@@ -115,10 +117,13 @@
 static void paused_first_peer_is_passed_over(void)
 {
     const unsigned node = NODES - 1, first_peer = 0, users = 8;
+    const mv_link_fault slow = {.delay_ms = SLOW_LINK_MS};
+    mv_cluster_links_set_peers(links, node, &slow);
     mv_cluster_links_set_state(links, node, &CUT);
     mv_cluster_set_paused(cluster, first_peer, true);
     g_assert_cmpuint(count_unanswered_users(node, users), ==, 0);
     mv_cluster_set_paused(cluster, first_peer, false);
+    mv_cluster_links_set_peers(links, node, &HEALED);
     heal_state_link(node);
 }
 
--- a/tests/test_request_pool.c
+++ b/tests/test_request_pool.c
@@ -70,7 +70,8 @@
  * after their users have given up. */
 static void request_waits_for_thread_no_longer_than_its_timeout(void)
 {
-    silent_service service = {.lock = PTHREAD_MUTEX_INITIALIZER, .changed = PTHREAD_COND_INITIALIZER};
+    silent_service service = {.lock = PTHREAD_MUTEX_INITIALIZER,
+                              .changed = PTHREAD_COND_INITIALIZER};
     mv_loopback_server *server = mv_loopback_server_start(answer_once_open, &service);
     g_autofree char *address = g_strdup_printf("127.0.0.1:%u", mv_loopback_server_port(server));
     mv_request_pool *pool = mv_request_pool_new(address, 1);
