--- a/src/server/peer_health.c
+++ b/src/server/peer_health.c
@@ -47,7 +47,7 @@
     g_autoptr(Mv__PeerResponse) response =
         mv_peer_client_exchange(health->peers, peer, request, MV_PEER_TIMEOUT_MS);
     if (!response)
-        return MV_PEER_SILENT;
+        return MV_PEER_UNRESPONSIVE;
     return response->healthy ? MV_PEER_SERVING : MV_PEER_WITHOUT_STATE;
 }
 
--- a/src/server/peer_health.h
+++ b/src/server/peer_health.h
@@ -15,7 +15,7 @@
 
 /** What the last health check of a peer showed; the higher, the better for users' requests. */
 typedef enum {
-    MV_PEER_SILENT,        /* the peer did not respond */
+    MV_PEER_UNRESPONSIVE,  /* the peer did not respond */
     MV_PEER_WITHOUT_STATE, /* the peer responded, but does not reach the state service */
     MV_PEER_UNCHECKED,     /* there was no check yet */
     MV_PEER_SERVING        /* the peer responded and reaches the state service */
--- a/src/server/request_forwarder.c
+++ b/src/server/request_forwarder.c
@@ -75,15 +75,16 @@
     bool *tried; /* by index of the peer */
 } forwarding;
 
-/* Returns whether peer `a` is to be tried before peer `b`: the one that the health checks found in
+/* Returns whether a peer is to be tried before another one: the one that the health checks found in
  * the better state, or the one with fewer requests in flight. */
-static bool is_preferred(const mv_request_forwarder *forwarder, size_t a, size_t b)
+static bool is_preferred(const mv_request_forwarder *forwarder, size_t peer, size_t other)
 {
-    const mv_peer_state state_a = mv_peer_health_state(forwarder->health, a);
-    const mv_peer_state state_b = mv_peer_health_state(forwarder->health, b);
-    if (state_a != state_b)
-        return state_a > state_b;
-    return mv_peer_client_load(forwarder->peers, a) < mv_peer_client_load(forwarder->peers, b);
+    const mv_peer_state state = mv_peer_health_state(forwarder->health, peer);
+    const mv_peer_state other_state = mv_peer_health_state(forwarder->health, other);
+    if (state != other_state)
+        return state > other_state;
+    return mv_peer_client_load(forwarder->peers, peer) <
+           mv_peer_client_load(forwarder->peers, other);
 }
 
 /* Finds the peer that is to be tried next. Returns false if all have been tried. */
@@ -105,7 +106,7 @@
     unsigned count = 0;
     for (size_t i = 0; i < forwarding->forwarder->settings->peer_count; i++)
         count += !forwarding->tried[i] &&
-                 mv_peer_health_state(forwarding->forwarder->health, i) != MV_PEER_SILENT;
+                 mv_peer_health_state(forwarding->forwarder->health, i) != MV_PEER_UNRESPONSIVE;
     return count;
 }
 
--- a/tests/test_request_pool.c
+++ b/tests/test_request_pool.c
@@ -1,5 +1,6 @@
 /**
- * Tests the pool of threads that send requests to the state service, with a service that is silent.
+ * Tests the pool of threads that send requests to the state service, with a service that answers
+ * nothing.
  */
 #include "storage/request_pool.h"
 
@@ -16,11 +17,11 @@
     pthread_cond_t changed;
     bool open; /* guarded by the lock, as is `requests` */
     unsigned requests;
-} silent_service;
+} stalled_service;
 
 static int answer_once_open(void *context, const mv_loopback_request *request, mv_writer *response)
 {
-    silent_service *service = context;
+    stalled_service *service = context;
     (void)request;
     (void)response;
     pthread_mutex_lock(&service->lock);
@@ -47,7 +48,7 @@
     return GINT_TO_POINTER(get_status(pool, CALL_TIMEOUT_MS));
 }
 
-static void wait_for_request(silent_service *service)
+static void wait_for_request(stalled_service *service)
 {
     pthread_mutex_lock(&service->lock);
     while (service->requests == 0)
@@ -56,7 +57,7 @@
 }
 
 /* Opens the service and returns how many requests it has received. */
-static unsigned open_service(silent_service *service)
+static unsigned open_service(stalled_service *service)
 {
     pthread_mutex_lock(&service->lock);
     const unsigned requests = service->requests;
@@ -70,8 +71,8 @@
  * after their users have given up. */
 static void request_waits_for_thread_no_longer_than_its_timeout(void)
 {
-    silent_service service = {.lock = PTHREAD_MUTEX_INITIALIZER,
-                              .changed = PTHREAD_COND_INITIALIZER};
+    stalled_service service = {.lock = PTHREAD_MUTEX_INITIALIZER,
+                               .changed = PTHREAD_COND_INITIALIZER};
     mv_loopback_server *server = mv_loopback_server_start(answer_once_open, &service);
     g_autofree char *address = g_strdup_printf("127.0.0.1:%u", mv_loopback_server_port(server));
     mv_request_pool *pool = mv_request_pool_new(address, 1);
