A controller whose forwarded requests get no answer is unhealthy

Cause: the health check asked only whether a peer responds, over and above the state service; whether users are served through the peers was not measured.

Why it works: the forwarder counts, over the last 2 to 4 s, which of the requests that were to be forwarded had an answer in time. While the state service is out of reach and most of them, and at least four, had none, the controller is unhealthy, and its users move to others. Counted as unanswered: a peer that the health check found to be serving, or every peer, gave no response although there was time for one; a poll that had waited here until its user gave up. Not counted: refusals. In an outage of the state service all controllers refuse one another's requests, and taking them out of service would help no user.

Evidence: request_forwarder (peers that never answer, peers that refuse, an expired request, a second peer) and forwarding_record.

--- a/src/constants.h
+++ b/src/constants.h
@@ -959,6 +959,13 @@
 #define MV_USER_CHANGE_TIMEOUT_MS 5000
 /** Time that a response takes from this controller to the user. */
 #define MV_USER_RESPONSE_MS 100
+/**
+ * A controller counts over this time, and up to twice as long, whether forwarded requests were
+ * answered: as long as the load balancer takes to remove an unhealthy node.
+ */
+#define MV_FORWARDING_WINDOW_S 2.0
+/** Fewer forwarded requests without an answer than this do not make a controller unhealthy. */
+#define MV_FORWARDING_FAILURES_MIN 4u
 /** Users poll a job roughly this often (see the protocol page). */
 #define MV_POLL_INTERVAL_S 5.0
 /**
--- a/src/server/operator_endpoints.c
+++ b/src/server/operator_endpoints.c
@@ -18,9 +18,11 @@
     /* A controller that has lost the state service can still serve users through a peer that
      * reaches it. If all controllers have lost the state service, taking this controller out of
      * service would help no user. So a controller without the state service is unhealthy only if no
-     * peer responds either. */
-    const bool healthy =
-        ready && (state_reachable || mv_peer_health_any_reachable(services->peer_health));
+     * peer responds either, or if the requests that it forwards get no answer while peers could
+     * serve them: then its users are served better by another controller. */
+    const bool serves_through_peers = mv_peer_health_any_reachable(services->peer_health) &&
+                                      !mv_request_forwarder_is_failing(services->forwarder);
+    const bool healthy = ready && (state_reachable || serves_through_peers);
     const char *text = healthy ? "ok\n" : "not ready\n";
     response->status = healthy ? MV_HTTP_STATUS_OK : MV_HTTP_STATUS_UNAVAILABLE;
     response->is_text = true;
@@ -109,6 +111,9 @@
     append_link_metrics(text, &counters);
     append_http_metrics(text, &load);
     append_controller_gauges(text, &counters, leader);
+    const metric failing = {"forwarding_failing",
+                            mv_request_forwarder_is_failing(services->forwarder)};
+    append_metrics(text, &failing, 1);
     response->status = MV_HTTP_STATUS_OK;
     response->is_text = true;
     response->body = g_string_free_to_bytes(text);
--- a/src/server/request_forwarder.c
+++ b/src/server/request_forwarder.c
@@ -4,15 +4,23 @@
 #include "server/request_forwarder.h"
 
 #include "protocol/http_status.h"
+#include "server/clocks.h"
+#include "server/forwarding_record.h"
 #include "server/peer_client.h"
+#include "telemetry/log.h"
+
+#include <pthread.h>
 
 #define MICROSECONDS_PER_MILLISECOND 1000
-#define MILLISECONDS_PER_SECOND 1000
+/* The time in which a peer answers a poll, also one that waits for its next watch. */
+#define POLL_TIME_MS ((unsigned)(MV_POLL_WAIT_MAX_S * 1000))
 
 struct mv_request_forwarder {
     const mv_settings *settings;
     const mv_peer_health *health;
     mv_peer_client *peers; /* for forwarded requests only; owned */
+    pthread_mutex_t lock;  /* guards the record */
+    mv_forwarding_record record;
 };
 
 mv_request_forwarder *mv_request_forwarder_new(const mv_settings *settings,
@@ -23,15 +31,39 @@
     forwarder->settings = settings;
     forwarder->health = health;
     forwarder->peers = mv_peer_client_new(settings, &limits);
+    pthread_mutex_init(&forwarder->lock, NULL);
     return forwarder;
 }
 
 void mv_request_forwarder_free(mv_request_forwarder *forwarder)
 {
     mv_peer_client_free(forwarder->peers);
+    pthread_mutex_destroy(&forwarder->lock);
     g_free(forwarder);
 }
 
+/* --- record --- */
+
+static void record_request(mv_request_forwarder *forwarder, bool answered)
+{
+    pthread_mutex_lock(&forwarder->lock);
+    mv_forwarding_record_add(&forwarder->record, mv_monotonic_now(), answered);
+    pthread_mutex_unlock(&forwarder->lock);
+}
+
+void mv_request_forwarder_missed(mv_request_forwarder *forwarder)
+{
+    record_request(forwarder, false);
+}
+
+bool mv_request_forwarder_is_failing(mv_request_forwarder *forwarder)
+{
+    pthread_mutex_lock(&forwarder->lock);
+    const bool failing = mv_forwarding_record_is_failing(&forwarder->record, mv_monotonic_now());
+    pthread_mutex_unlock(&forwarder->lock);
+    return failing;
+}
+
 /* --- messages --- */
 
 /* Returns the body of a request as a field of a message, which borrows the bytes. */
@@ -72,7 +104,10 @@
     mv_request_forwarder *forwarder;
     GBytes *request;
     gint64 deadline_us;
-    bool *tried; /* by index of the peer */
+    bool *tried;             /* by index of the peer */
+    bool refused;            /* a peer responded, but did not serve the request */
+    bool unanswered;         /* a peer that had enough time did not respond */
+    bool serving_unanswered; /* the same of a peer that the health check found to be serving */
 } forwarding;
 
 /* Returns whether a peer is to be tried before another one: the one that the health checks found in
@@ -118,20 +153,27 @@
     const gint64 left_ms =
         (forwarding->deadline_us - g_get_monotonic_time()) / MICROSECONDS_PER_MILLISECOND;
     const gint64 share_ms = left_ms / (gint64)MAX(count_responsive(forwarding), 1);
-    const gint64 sufficient_ms =
-        MAX(share_ms, (gint64)(MV_POLL_WAIT_MAX_S * MILLISECONDS_PER_SECOND));
+    const gint64 sufficient_ms = MAX(share_ms, POLL_TIME_MS);
     return (unsigned)CLAMP(MIN(sufficient_ms, left_ms), 0, MV_FORWARD_TIMEOUT_MS);
 }
 
 /* --- forwarding --- */
 
-/* Sends the request to one peer. Returns whether the peer has served it; if so, fills in the
- * response. */
-static bool forward_to(const forwarding *forwarding, size_t peer, unsigned timeout_ms,
+/* Sends the request to one peer and notes the result. Returns whether the peer has served it; if
+ * so, fills in the response. */
+static bool forward_to(forwarding *forwarding, size_t peer, unsigned timeout_ms,
                        mv_http_response *response)
 {
-    g_autoptr(Mv__PeerResponse) answer = mv_peer_client_exchange(forwarding->forwarder->peers, peer,
-                                                                 forwarding->request, timeout_ms);
+    const mv_request_forwarder *forwarder = forwarding->forwarder;
+    const bool believed_serving = mv_peer_health_state(forwarder->health, peer) == MV_PEER_SERVING;
+    g_autoptr(Mv__PeerResponse) answer =
+        mv_peer_client_exchange(forwarder->peers, peer, forwarding->request, timeout_ms);
+    forwarding->tried[peer] = true;
+    if (!answer && timeout_ms >= POLL_TIME_MS) {
+        forwarding->unanswered = true;
+        forwarding->serving_unanswered |= believed_serving;
+    }
+    forwarding->refused |= answer && !has_served(answer);
     if (!has_served(answer))
         return false;
     *response = (mv_http_response){
@@ -141,22 +183,41 @@
     return true;
 }
 
-bool mv_request_forwarder_forward(mv_request_forwarder *forwarder, mv_forward_target target,
-                                  const mv_http_request *user_request, gint64 deadline_us,
-                                  mv_http_response *response)
+/* Forwards the request to one peer after the other. Returns whether a peer has served it. */
+static bool forward_to_any(forwarding *forwarding, mv_http_response *response)
 {
-    g_autoptr(GBytes) request = pack_request(target, user_request);
-    g_autofree bool *tried = g_new0(bool, forwarder->settings->peer_count + 1);
-    const forwarding forwarding = {
-        .forwarder = forwarder, .request = request, .deadline_us = deadline_us, .tried = tried};
     size_t peer = 0;
-    while (choose_peer(&forwarding, &peer)) {
-        const unsigned timeout_ms = time_share_ms(&forwarding);
+    while (choose_peer(forwarding, &peer)) {
+        const unsigned timeout_ms = time_share_ms(forwarding);
         if (timeout_ms == 0)
             return false;
-        if (forward_to(&forwarding, peer, timeout_ms, response))
+        if (forward_to(forwarding, peer, timeout_ms, response))
             return true;
-        tried[peer] = true;
     }
     return false;
 }
+
+/* Returns whether a request that no peer has served shows that this controller fails its users. In
+ * an outage of the state service the peers refuse requests, and no other controller would serve
+ * them either. */
+static bool is_own_failure(const forwarding *forwarding)
+{
+    return forwarding->serving_unanswered || (forwarding->unanswered && !forwarding->refused);
+}
+
+bool mv_request_forwarder_forward(mv_request_forwarder *forwarder, mv_forward_target target,
+                                  const mv_http_request *user_request, gint64 deadline_us,
+                                  mv_http_response *response)
+{
+    g_autoptr(GBytes) request = pack_request(target, user_request);
+    g_autofree bool *tried = g_new0(bool, forwarder->settings->peer_count + 1);
+    forwarding forwarding = {
+        .forwarder = forwarder, .request = request, .deadline_us = deadline_us, .tried = tried};
+    const bool served = forward_to_any(&forwarding, response);
+    if (served || is_own_failure(&forwarding))
+        record_request(forwarder, served);
+    if (!served)
+        mv_log_limited(MV_LOG_INFO, "forward_failed", "path=%s unanswered=%d refused=%d",
+                       user_request->path, forwarding.unanswered, forwarding.refused);
+    return served;
+}
--- a/src/server/request_forwarder.h
+++ b/src/server/request_forwarder.h
@@ -43,4 +43,14 @@
 bool mv_request_forwarder_forward(mv_request_forwarder *forwarder, mv_forward_target target,
                                   const mv_http_request *user_request, gint64 deadline_us,
                                   mv_http_response *response);
+/**
+ * Counts a request that could not be forwarded, because it had waited at this controller until its
+ * user gave up.
+ */
+void mv_request_forwarder_missed(mv_request_forwarder *forwarder);
+/**
+ * Returns whether most of the requests that were lately to be forwarded had no answer in time, from
+ * peers that could be expected to serve them. Never blocks.
+ */
+bool mv_request_forwarder_is_failing(mv_request_forwarder *forwarder);
 #endif
--- a/src/server/request_router.c
+++ b/src/server/request_router.c
@@ -145,6 +145,14 @@
     return served;
 }
 
+/* Responds to a poll whose user has given up, and counts it if it would have been forwarded. */
+static void respond_too_late(const mv_request_services *services, mv_http_response *response)
+{
+    if (!mv_shared_controller_state_reachable(services->controller))
+        mv_request_forwarder_missed(services->forwarder);
+    mv_response_error(response, MV_HTTP_STATUS_UNAVAILABLE, "too late", NULL);
+}
+
 /* Responds to a user's request about jobs. If this controller cannot decide the request, a peer's
  * response is used instead, provided that forwarding is allowed and a peer can respond. A poll
  * whose user has given up is not decided. A submission or cancellation is, because it takes effect
@@ -158,7 +166,7 @@
                           g_get_monotonic_time() >= response_deadline_us(route->kind, request);
     mv_forwarding forwarding = MV_FORWARDING_FORBIDDEN;
     if (given_up)
-        mv_response_error(response, MV_HTTP_STATUS_UNAVAILABLE, "too late", NULL);
+        respond_too_late(services, response);
     else
         forwarding = respond_to_job_request(services, route, request, response);
     const bool may_forward =
