A peer does not decide a forwarded request whose sender has given up

A controller that was paused finds, when it continues, every request that was forwarded to it meanwhile, and decides them all before newer ones, although their senders have closed the connections and asked elsewhere.

Cause: a connection's thread handled each frame that it read, and noticed the end of the connection only when it wrote the response.

Why it works: before a user's forwarded request is decided, the thread checks without blocking whether the sender has closed the connection. The sender closes it when its call's time is over. Such a request gets no response, as if it had been lost; its user repeats it. Demands, link reports and requests for acknowledgements are handled as before: a late demand still says what a shard needs.

Evidence: peer_pool abandoned-request: the peer sees an abandoned request as such and no other.

--- a/src/server/peer_message_handler.c
+++ b/src/server/peer_message_handler.c
@@ -86,11 +86,18 @@
     return mv_peer_response_pack(&response);
 }
 
-GBytes *mv_peer_message_handle(void *context, const uint8_t *frame, size_t size)
+static bool is_forwarded(const Mv__PeerRequest *request)
+{
+    return request->kind_case == MV__PEER_REQUEST__KIND_FORWARDED ||
+           request->kind_case == MV__PEER_REQUEST__KIND_FORWARDED_CANCELLATION;
+}
+
+GBytes *mv_peer_message_handle(void *context, const mv_peer_message *message)
 {
     const mv_request_services *services = context;
-    g_autoptr(Mv__PeerRequest) request = mv__peer_request__unpack(NULL, size, frame);
-    if (!request)
+    g_autoptr(Mv__PeerRequest) request =
+        mv__peer_request__unpack(NULL, message->size, message->frame);
+    if (!request || (is_forwarded(request) && mv_peer_message_is_abandoned(message)))
         return NULL;
     switch (request->kind_case) {
     case MV__PEER_REQUEST__KIND_DEMAND:
--- a/src/transport/peer_server.c
+++ b/src/transport/peer_server.c
@@ -6,6 +6,7 @@
 #include "transport/peer_socket.h"
 #include "transport/threads.h"
 
+#include <errno.h>
 #include <pthread.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -38,7 +39,8 @@
     g_autofree uint8_t *frame = mv_peer_frame_read(connection->fd, &size, MV_PEER_NO_DEADLINE);
     if (!frame)
         return false;
-    g_autoptr(GBytes) response = server->handler(server->context, frame, size);
+    const mv_peer_message message = {.frame = frame, .size = size, .connection = connection->fd};
+    g_autoptr(GBytes) response = server->handler(server->context, &message);
     if (!response)
         return false;
     gsize response_size;
@@ -46,6 +48,14 @@
     return mv_peer_frame_write(connection->fd, bytes, response_size, MV_PEER_NO_DEADLINE);
 }
 
+bool mv_peer_message_is_abandoned(const mv_peer_message *message)
+{
+    uint8_t next;
+    const ssize_t received = recv(message->connection, &next, sizeof next, MSG_PEEK | MSG_DONTWAIT);
+    const bool nothing_yet = received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return received <= 0 && !nothing_yet;
+}
+
 /* Serves one connection until the connection ends, then closes the socket and frees the record. */
 static void *connection_thread(void *argument)
 {
--- a/src/transport/peer_server.h
+++ b/src/transport/peer_server.h
@@ -14,11 +14,24 @@
 /** The server; opaque. */
 typedef struct mv_peer_server mv_peer_server;
 
+/** A request that a handler answers. It is valid until the handler returns. */
+typedef struct {
+    const uint8_t *frame;
+    size_t size;
+    int connection; /**< socket, for mv_peer_message_is_abandoned */
+} mv_peer_message;
+
+/**
+ * Answers one request. Returns the response, which the server unrefs, or NULL to close the
+ * connection. Several threads may call the handler at the same time.
+ */
+typedef GBytes *(*mv_peer_handler)(void *context, const mv_peer_message *message);
+
 /**
- * Answers one request frame, which is borrowed. Returns the response, which the server unrefs, or
- * NULL to close the connection. Several threads may call the handler at the same time.
+ * Returns whether the sender has closed the connection since it sent the request, because it waits
+ * for the response no longer. A paused process finds such requests when it continues. Never blocks.
  */
-typedef GBytes *(*mv_peer_handler)(void *context, const uint8_t *frame, size_t size);
+bool mv_peer_message_is_abandoned(const mv_peer_message *message);
 
 /**
  * Starts a server that listens on the address. Returns NULL if the address cannot be bound or the
--- a/tests/test_forwarding_record.c
+++ b/tests/test_forwarding_record.c
@@ -16,7 +16,7 @@
 }
 
 /* Guards against a controller that stays healthy because some requests are answered. */
-static void most_requests_unanswered_is_failing(void)
+static void majority_unanswered_is_failing(void)
 {
     mv_forwarding_record record = {0};
     add(&record, 100, 5, 5);
@@ -50,7 +50,7 @@
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/forwarding-record/most", most_requests_unanswered_is_failing);
+    g_test_add_func("/forwarding-record/most", majority_unanswered_is_failing);
     g_test_add_func("/forwarding-record/few", few_requests_show_nothing);
     g_test_add_func("/forwarding-record/old", old_requests_are_forgotten);
     return g_test_run();
--- a/tests/test_old_owner.c
+++ b/tests/test_old_owner.c
@@ -29,10 +29,11 @@
 /* --- the controller of the old version --- */
 
 /* Answers as the version in production: a message of an unknown kind gets an empty response. */
-static GBytes *answer_as_old_version(void *context, const uint8_t *frame, size_t size)
+static GBytes *answer_as_old_version(void *context, const mv_peer_message *message)
 {
     (void)context;
-    g_autoptr(Mv__PeerRequest) request = mv__peer_request__unpack(NULL, size, frame);
+    g_autoptr(Mv__PeerRequest) request =
+        mv__peer_request__unpack(NULL, message->size, message->frame);
     Mv__PeerResponse response = MV__PEER_RESPONSE__INIT;
     if (request->kind_case == MV__PEER_REQUEST__KIND_FORWARDED) {
         const bool cancels = g_str_has_suffix(request->forwarded->path, WIRE_CANCEL);
--- a/tests/test_peer_pool.c
+++ b/tests/test_peer_pool.c
@@ -19,8 +19,8 @@
 typedef struct {
     pthread_mutex_t lock;
     pthread_cond_t arrived;
-    unsigned expected; /* guarded by the lock, as is `calls` */
-    unsigned calls;
+    unsigned expected; /* guarded by the lock, as are the fields below */
+    unsigned calls, answered, abandoned;
 } gathering;
 
 static void init_gathering(gathering *calls, unsigned expected)
@@ -36,7 +36,7 @@
     pthread_cond_destroy(&calls->arrived);
 }
 
-static GBytes *answer_when_gathered(void *context, const uint8_t *frame, size_t size)
+static GBytes *answer_when_gathered(void *context, const mv_peer_message *message)
 {
     gathering *calls = context;
     pthread_mutex_lock(&calls->lock);
@@ -44,8 +44,11 @@
     pthread_cond_broadcast(&calls->arrived);
     while (calls->calls < calls->expected)
         pthread_cond_wait(&calls->arrived, &calls->lock);
+    calls->abandoned += mv_peer_message_is_abandoned(message);
+    calls->answered++;
+    pthread_cond_broadcast(&calls->arrived);
     pthread_mutex_unlock(&calls->lock);
-    return g_bytes_new(frame, size);
+    return g_bytes_new(message->frame, message->size);
 }
 
 static mv_endpoint free_endpoint(void)
@@ -149,11 +152,40 @@
     clear_gathering(&calls);
 }
 
+/* Guards against requests that a peer decides although nobody waits for the answer any more, for
+ * example after the peer was paused. */
+static void abandoned_request_is_known(void)
+{
+    gathering calls;
+    init_gathering(&calls, 1);
+    const mv_endpoint endpoint = free_endpoint();
+    mv_peer_server *server = start_server(&endpoint, &calls);
+    mv_peer *peer = mv_peer_new(&endpoint, &(mv_peer_limits){.connections = 1});
+    g_assert_true(call(peer, CALL_TIMEOUT_MS));
+    pthread_mutex_lock(&calls.lock);
+    g_assert_cmpuint(calls.abandoned, ==, 0);
+    calls.expected = 3;
+    pthread_mutex_unlock(&calls.lock);
+
+    g_assert_false(call(peer, SHORT_TIMEOUT_MS));
+    pthread_mutex_lock(&calls.lock);
+    calls.expected = 1;
+    pthread_cond_broadcast(&calls.arrived);
+    while (calls.answered < 2)
+        pthread_cond_wait(&calls.arrived, &calls.lock);
+    g_assert_cmpuint(calls.abandoned, ==, 1);
+    pthread_mutex_unlock(&calls.lock);
+    mv_peer_free(peer);
+    mv_peer_server_free(server);
+    clear_gathering(&calls);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/peer-pool/in-flight-together", calls_are_in_flight_together);
     g_test_add_func("/peer-pool/limit", further_call_waits_for_connection);
+    g_test_add_func("/peer-pool/abandoned", abandoned_request_is_known);
     g_test_add_func("/peer-pool/restart", restarted_peer_is_called_again);
     return g_test_run();
 }
--- a/tests/test_request_forwarder.c
+++ b/tests/test_request_forwarder.c
@@ -34,11 +34,10 @@
 static mv_peer_health *health; /* without its thread: no peer has been checked */
 static mv_request_forwarder *forwarder;
 
-static GBytes *answer_forwarded(void *context, const uint8_t *frame, size_t size)
+static GBytes *answer_forwarded(void *context, const mv_peer_message *message)
 {
     test_peer *peer = context;
-    (void)frame;
-    (void)size;
+    (void)message;
     pthread_mutex_lock(&peer->lock);
     peer->requests++;
     while (peer->blocked)
