Forwarding: count the responsive peers once; names and a race in a test

Found by lint: MAX evaluated the count twice, and a health check between the two could make the second one 0, a division by zero that would have ended the controller.

--- a/src/server/demand_publisher.c
+++ b/src/server/demand_publisher.c
@@ -12,7 +12,7 @@
                                              mv_shared_controller *controller)
 {
     mv_demand_publisher *publisher = g_new0(mv_demand_publisher, 1);
-    publisher->peers = mv_peer_client_new(settings, &mv_peer_single_call);
+    publisher->peers = mv_peer_client_new(settings, &MV_PEER_SINGLE_CALL);
     publisher->controller = controller;
     return publisher;
 }
--- a/src/server/link_report_publisher.c
+++ b/src/server/link_report_publisher.c
@@ -28,7 +28,7 @@
     publisher->settings = settings;
     publisher->controller = controller;
     publisher->threads = threads;
-    publisher->peers = mv_peer_client_new(settings, &mv_peer_single_call);
+    publisher->peers = mv_peer_client_new(settings, &MV_PEER_SINGLE_CALL);
     publisher->recipients = g_new0(report_recipient, settings->peer_count + 1);
     for (size_t i = 0; i < settings->peer_count; i++)
         publisher->recipients[i] =
--- a/src/server/peer_client.c
+++ b/src/server/peer_client.c
@@ -10,7 +10,7 @@
     mv_peer **peers; /* in the order of settings->peers */
 };
 
-const mv_peer_limits mv_peer_single_call = {.connections = 1};
+const mv_peer_limits MV_PEER_SINGLE_CALL = {.connections = 1};
 
 mv_peer_client *mv_peer_client_new(const mv_settings *settings, const mv_peer_limits *limits)
 {
--- a/src/server/peer_client.h
+++ b/src/server/peer_client.h
@@ -14,7 +14,7 @@
 typedef struct mv_peer_client mv_peer_client;
 
 /** The limits of a client whose calls come from one thread. */
-extern const mv_peer_limits mv_peer_single_call;
+extern const mv_peer_limits MV_PEER_SINGLE_CALL;
 
 /**
  * Returns an unconnected client, which the caller frees. `limits` hold for each peer and are
--- a/src/server/peer_health.c
+++ b/src/server/peer_health.c
@@ -18,7 +18,7 @@
 {
     mv_peer_health *health = g_new0(mv_peer_health, 1);
     health->settings = settings;
-    health->peers = mv_peer_client_new(settings, &mv_peer_single_call);
+    health->peers = mv_peer_client_new(settings, &MV_PEER_SINGLE_CALL);
     health->states = g_new(gint, settings->peer_count + 1);
     for (size_t i = 0; i < settings->peer_count; i++)
         health->states[i] = MV_PEER_UNCHECKED;
--- a/src/server/request_forwarder.c
+++ b/src/server/request_forwarder.c
@@ -152,7 +152,9 @@
 {
     const gint64 left_ms =
         (forwarding->deadline_us - g_get_monotonic_time()) / MICROSECONDS_PER_MILLISECOND;
-    const gint64 share_ms = left_ms / (gint64)MAX(count_responsive(forwarding), 1);
+    /* Counted once: a health check may find another peer unresponsive between two counts. */
+    const unsigned responsive = count_responsive(forwarding);
+    const gint64 share_ms = left_ms / (gint64)MAX(responsive, 1);
     const gint64 sufficient_ms = MAX(share_ms, POLL_TIME_MS);
     return (unsigned)CLAMP(MIN(sufficient_ms, left_ms), 0, MV_FORWARD_TIMEOUT_MS);
 }
--- a/tests/test_request_forwarder.c
+++ b/tests/test_request_forwarder.c
@@ -22,7 +22,7 @@
 typedef struct {
     pthread_mutex_t lock;
     pthread_cond_t opened;
-    bool blocked;      /* guarded by the lock, as is `requests` */
+    bool blocked;      /* guarded by the lock, as are `requests` and `status` */
     unsigned requests; /* forwarded requests that arrived */
     int status;
     mv_peer_server *server;
@@ -42,9 +42,9 @@
     peer->requests++;
     while (peer->blocked)
         pthread_cond_wait(&peer->opened, &peer->lock);
-    pthread_mutex_unlock(&peer->lock);
     Mv__PeerResponse response = MV__PEER_RESPONSE__INIT;
     response.status = (uint32_t)peer->status;
+    pthread_mutex_unlock(&peer->lock);
     return mv_peer_response_pack(&response);
 }
 
@@ -56,6 +56,13 @@
     pthread_mutex_unlock(&peer->lock);
 }
 
+static void set_status(test_peer *peer, int status)
+{
+    pthread_mutex_lock(&peer->lock);
+    peer->status = status;
+    pthread_mutex_unlock(&peer->lock);
+}
+
 static unsigned count_requests(void)
 {
     unsigned count = 0;
@@ -133,7 +140,7 @@
     set_blocked(&peers[0], true);
     g_assert_cmpint(forward_poll(LONG_TIMEOUT_MS), ==, MV_HTTP_STATUS_OK);
     set_blocked(&peers[0], false);
-    peers[0].status = MV_HTTP_STATUS_UNAVAILABLE;
+    set_status(&peers[0], MV_HTTP_STATUS_UNAVAILABLE);
     g_assert_cmpint(forward_poll(LONG_TIMEOUT_MS), ==, MV_HTTP_STATUS_OK);
     stop_peers();
 }
@@ -166,7 +173,7 @@
 {
     start_peers();
     for (unsigned i = 0; i < PEERS; i++)
-        peers[i].status = MV_HTTP_STATUS_UNAVAILABLE;
+        set_status(&peers[i], MV_HTTP_STATUS_UNAVAILABLE);
     for (unsigned i = 0; i < USERS; i++)
         g_assert_cmpint(forward_poll(LONG_TIMEOUT_MS), ==, MV_HTTP_STATUS_NONE);
     g_assert_false(mv_request_forwarder_is_failing(forwarder));
