--- a/tests/sim.h
+++ b/tests/sim.h
@@ -184,6 +184,10 @@
                                         sequence and fencing token go on */
     double machine_restart_anew;     /* mean; a machine restarts without its tasks, and agent epoch,
                                         sequence and fencing token begin anew */
+    double late_returns;     /* share of requests to return machines that the cloud executes up to
+                                minutes later, without a response */
+    unsigned *returned_late; /* the run adds the machines that such requests returned; NULL: no
+                                count */
 
     unsigned *combination_count; /* the run adds the occurrences of `combination`; NULL: no count */
     sim_fault_combination combination;
--- a/tests/sim_cloud.c
+++ b/tests/sim_cloud.c
@@ -14,6 +14,11 @@
 /* A machine that booted and was rented less than this many seconds ago must not be returned because
  * of jobs that fail on every machine. */
 #define YOUNG_MACHINE_S 50
+/* A late request to return machines is executed after LATE_RETURN_MIN_S to LATE_RETURN_SHORT_S, or
+ * up to LATE_RETURN_LONG_S. */
+#define LATE_RETURN_MIN_S 0.2
+#define LATE_RETURN_SHORT_S 8
+#define LATE_RETURN_LONG_S 150
 
 static void complete(sim *simulation, sim_request *request)
 {
@@ -148,11 +153,69 @@
     }
 }
 
+/* A request to return machines that the cloud executes late. */
+typedef struct {
+    GPtrArray *names; /* char * */
+    double sent_at;
+} late_return;
+
+static void free_late_return(gpointer data)
+{
+    late_return *late = data;
+    g_ptr_array_unref(late->names);
+    g_free(late);
+}
+
+/* A machine whose return was requested must not get a task after that, because the request can be
+ * executed at any time. */
+static void check_late_return(sim *simulation, const fake_worker *worker, double sent_at)
+{
+    for (guint i = 0; i < worker->tasks->len; i++) {
+        const fake_task *task = g_ptr_array_index(worker->tasks, i);
+        if (task->status == FAKE_TASK_RUNNING && task->started_at > sent_at)
+            sim_violation(simulation, "returned %s, which got work after the request", worker->id);
+    }
+}
+
+static void execute_late_return(sim *simulation, gpointer data)
+{
+    late_return *late = data;
+    for (guint i = 0; i < late->names->len; i++) {
+        fake_worker *worker = sim_worker_by_id(simulation, g_ptr_array_index(late->names, i));
+        if (!worker || worker->gone)
+            continue;
+        check_late_return(simulation, worker, late->sent_at);
+        worker->gone = true;
+        if (simulation->plan->returned_late)
+            (*simulation->plan->returned_late)++;
+    }
+    free_late_return(late);
+}
+
+/* Lets the cloud execute the request at a time from a fraction of a second to minutes later, while
+ * its sender gets no response. */
+static void execute_late(sim *simulation, sim_request *request)
+{
+    late_return *late = g_new0(late_return, 1);
+    late->names = g_ptr_array_ref(request->action->machine_names);
+    late->sent_at = simulation->now;
+    const double longest_s = sim_chance(simulation, 0.5) ? LATE_RETURN_SHORT_S : LATE_RETURN_LONG_S;
+    sim_schedule_owned(simulation, sim_random(simulation, LATE_RETURN_MIN_S, longest_s),
+                       execute_late_return, late, free_late_return);
+    request->status = SIM_HTTP_NONE;
+    sim_request_complete(simulation, request, REQUEST_TIMEOUT_S);
+}
+
 void sim_execute_scale_in(sim *simulation, gpointer data)
 {
     sim_request *request = data;
     if (!is_accepted(simulation, request, sim_execute_scale_in))
         return;
+    const double late_share = simulation->plan->late_returns;
+    if (late_share > 0 && sim_chance(simulation, late_share)) {
+        execute_late(simulation, request);
+        return;
+    }
     const GPtrArray *names = request->action->machine_names;
     for (guint i = 0; i < names->len; i++) {
         fake_worker *worker = sim_worker_by_id(simulation, g_ptr_array_index(names, i));
