Test with processes: unanswered polls take a controller out of service

forwarding unanswered-polls: the peers of a controller without the state service respond to health checks, but answer forwarded polls too late (no watch ends, 150 ms on the links). Its health check returns 503 while users poll, and 200 again afterwards. With the condition on the forwarder's record taken out of mv_endpoint_health the test fails: 8 observations, each with 0 of 40 polls answered, and the health check never returns 503.

--- a/tests/test_forwarding.c
+++ b/tests/test_forwarding.c
@@ -16,6 +16,9 @@
 #define RUN_S 3600
 /* A network between the controllers that is slow, but leaves time for an answer. */
 #define SLOW_LINK_MS 150
+/* Users who poll while the health of a node is observed, and the number of observations. */
+#define HEALTH_USERS 8
+#define HEALTH_STEPS_MAX 8
 
 /* --- the cluster --- */
 
@@ -127,6 +130,41 @@
     heal_state_link(node);
 }
 
+static int health_status(unsigned node)
+{
+    char status[STATUS_SIZE];
+    return send_request(node, "GET", WIRE_HEALTH_PATH, NULL, status);
+}
+
+/* Lets users poll at the node until its health check has the expected status. */
+static void poll_until_health_is(unsigned node, int expected)
+{
+    for (unsigned step = 0; step < HEALTH_STEPS_MAX; step++) {
+        count_unanswered_users(node, HEALTH_USERS);
+        if (health_status(node) == expected)
+            return;
+    }
+    g_error("the health check of node %u does not return %d", node, expected);
+}
+
+/* Guards against a controller that calls itself healthy while the polls that it forwards get no
+ * answer in time: its peers respond to health checks, but answer polls too late, because no watch
+ * ends and the links are slow. */
+static void unanswered_polls_make_unhealthy(void)
+{
+    const unsigned node = NODES - 1;
+    const mv_link_fault slow = {.delay_ms = SLOW_LINK_MS};
+    mv_cluster_links_set_state(links, node, &CUT);
+    poll_until_health_is(node, 200);
+    mv_environment_hold_watches(environment, true);
+    mv_cluster_links_set_peers(links, node, &slow);
+    poll_until_health_is(node, 503);
+    mv_environment_hold_watches(environment, false);
+    mv_cluster_links_set_peers(links, node, &HEALED);
+    poll_until_health_is(node, 200);
+    heal_state_link(node);
+}
+
 int main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
@@ -136,6 +174,7 @@
     start_cluster_with_jobs(directory);
     g_test_add_func("/forwarding/many-polls", many_polls_are_forwarded);
     g_test_add_func("/forwarding/paused-first-peer", paused_first_peer_is_passed_over);
+    g_test_add_func("/forwarding/unanswered-polls", unanswered_polls_make_unhealthy);
     const int result = g_test_run();
     stop_linked_cluster();
     g_rmdir(directory);
