HTTP server: bodies of requests are a module of their own; one name for one type

The request of the state service's pool had the same type name as the request that the HTTP server hands to handlers; it is mv_pool_request now. No change of behaviour.

--- a/src/storage/request_pool.c
+++ b/src/storage/request_pool.c
@@ -13,7 +13,7 @@
 /* A request on the stack of the calling thread, which blocks until a thread of the pool has
  * completed the request, or until the request has been in the queue for too long. */
 typedef struct {
-    const mv_http_request *request;
+    const mv_pool_request *request;
     mv_http_result *result;
     pending_state state;
     pthread_cond_t completed;
@@ -82,7 +82,7 @@
     g_free(pool);
 }
 
-void mv_request_pool_call_directly(const mv_request_pool *pool, const mv_http_request *request,
+void mv_request_pool_call_directly(const mv_request_pool *pool, const mv_pool_request *request,
                                    mv_http_result *result)
 {
     mv_http_call(request->method, pool->address, request->path, request->body, request->timeout_ms,
@@ -101,7 +101,7 @@
         pthread_cond_wait(&pending->completed, &pool->lock);
 }
 
-void mv_request_pool_call(mv_request_pool *pool, const mv_http_request *request,
+void mv_request_pool_call(mv_request_pool *pool, const mv_pool_request *request,
                           mv_http_result *result)
 {
     if (pool->thread_count == 0) {
--- a/src/storage/request_pool.h
+++ b/src/storage/request_pool.h
@@ -21,7 +21,7 @@
     const char *method, *path;
     GBytes *body; /* may be NULL */
     unsigned timeout_ms;
-} mv_http_request;
+} mv_pool_request;
 
 /**
  * Returns a pool that sends requests to `address` ("10.0.0.1:8080", copied) from up to `threads`
@@ -44,13 +44,13 @@
  * clears `result` with
  * mv_http_result_clear.
  */
-void mv_request_pool_call(mv_request_pool *pool, const mv_http_request *request,
+void mv_request_pool_call(mv_request_pool *pool, const mv_pool_request *request,
                           mv_http_result *result);
 
 /**
  * Sends the request from the calling thread, over that thread's own connection, and waits for the
  * response. The caller clears `result` with mv_http_result_clear.
  */
-void mv_request_pool_call_directly(const mv_request_pool *pool, const mv_http_request *request,
+void mv_request_pool_call_directly(const mv_request_pool *pool, const mv_pool_request *request,
                                    mv_http_result *result);
 #endif
--- a/src/storage/state_client.c
+++ b/src/storage/state_client.c
@@ -57,7 +57,7 @@
            mv_text_is(mv_field_find(mv_document_root(document), WIRE_ERROR), WIRE_NO_LEASE);
 }
 
-static bool is_transaction(const mv_http_request *request)
+static bool is_transaction(const mv_pool_request *request)
 {
     return strcmp(request->path, WIRE_TRANSACTION_PATH) == 0;
 }
@@ -84,7 +84,7 @@
 /* Converts a response to a result. With MV_STATE_STORE_OK `*document` becomes the parsed body; if
  * `document` is NULL, the body is ignored. A transaction that is refused with status 400 is too
  * large, unless its lease session has expired. */
-static mv_state_store_result read_response(const mv_http_request *request,
+static mv_state_store_result read_response(const mv_pool_request *request,
                                            const mv_http_result *response, mv_document **document)
 {
     const mv_state_store_result result = result_of_status(response->status);
@@ -99,7 +99,7 @@
 }
 
 mv_state_store_result mv_state_store_request(mv_state_store *store, mv_request_sender sender,
-                                             const mv_http_request *request, mv_document **document)
+                                             const mv_pool_request *request, mv_document **document)
 {
     mv_state_store_result result = MV_STATE_STORE_REFUSED;
     if (document)
--- a/src/storage/state_client.h
+++ b/src/storage/state_client.h
@@ -36,7 +36,7 @@
  * `*document` is NULL. `document` may be NULL if the caller does not need the body.
  */
 mv_state_store_result mv_state_store_request(mv_state_store *store, mv_request_sender sender,
-                                             const mv_http_request *request,
+                                             const mv_pool_request *request,
                                              mv_document **document);
 
 /** Returns the id of the newest lease session; 0 if no session was opened yet. */
--- a/src/storage/state_records.c
+++ b/src/storage/state_records.c
@@ -17,7 +17,7 @@
 static mv_state_store_result send_get(mv_state_store *store, mv_request_sender sender,
                                       const char *path, unsigned timeout_ms, mv_document **document)
 {
-    const mv_http_request request = {.method = "GET", .path = path, .timeout_ms = timeout_ms};
+    const mv_pool_request request = {.method = "GET", .path = path, .timeout_ms = timeout_ms};
     return mv_state_store_request(store, sender, &request, document);
 }
 
--- a/src/storage/state_session.c
+++ b/src/storage/state_session.c
@@ -12,7 +12,7 @@
     mv_write_map(writer, 1);
     mv_write_u64_field(writer, WIRE_TTL_MS, (uint64_t)(MV_SESSION_TTL_S * 1000));
     g_autoptr(GBytes) body = mv_writer_finish(writer);
-    const mv_http_request request = {.method = "POST",
+    const mv_pool_request request = {.method = "POST",
                                      .path = WIRE_LEASES_PATH,
                                      .body = body,
                                      .timeout_ms = MV_STATE_STORE_TIMEOUT_MS};
@@ -35,7 +35,7 @@
     char path[80];
     g_snprintf(path, sizeof path, WIRE_LEASES_PATH "/%" G_GUINT64_FORMAT "/" WIRE_RENEW,
                mv_state_store_lease_id(store));
-    const mv_http_request request = {
+    const mv_pool_request request = {
         .method = "POST", .path = path, .timeout_ms = MV_SESSION_TIMEOUT_MS};
     return mv_state_store_request(store, MV_SEND_FROM_CALLER, &request, NULL);
 }
--- a/src/storage/state_transaction.c
+++ b/src/storage/state_transaction.c
@@ -52,7 +52,7 @@
 {
     const uint64_t lease_id = mv_state_store_lease_id(store);
     g_autoptr(GBytes) body = pack_transaction(preconditions, writes, lease_id);
-    const mv_http_request request = {.method = "POST",
+    const mv_pool_request request = {.method = "POST",
                                      .path = WIRE_TRANSACTION_PATH,
                                      .body = body,
                                      .timeout_ms = MV_STATE_STORE_TIMEOUT_MS};
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -4,7 +4,7 @@
 #include "constants.h"
 #include "telemetry/log.h"
 #include "protocol/http_status.h"
-#include "protocol/json_size.h"
+#include "transport/http_body.h"
 #include "transport/threads.h"
 
 #include <arpa/inet.h>
@@ -43,20 +43,10 @@
     REQUEST_ANSWERED /* a request thread has filled in the response */
 } request_state;
 
-/* What becomes of a request because of its body. */
-typedef enum {
-    BODY_ACCEPTED,
-    BODY_TOO_LARGE, /* over the limit of the protocol */
-    BODY_NOT_READ   /* MV_HTTP_LARGE_BODIES_MAX large bodies are in memory */
-} body_verdict;
-
 typedef struct {
     struct MHD_Connection *connection;
     gint64 received_us; /* as in mv_http_request */
-    GByteArray *body;   /* NULL: the body was not accepted, or was passed to the handler */
-    size_t received_bytes;
-    bool counts_as_large; /* one of the server's large_bodies */
-    body_verdict verdict;
+    mv_http_body body;
     request_state state;
     char *method, *path; /* copies, set when the request is queued */
     mv_http_response response;
@@ -122,7 +112,7 @@
 static void answer(const mv_http_server *server, const char *method, const char *path,
                    received_request *received)
 {
-    g_autoptr(GBytes) body = g_byte_array_free_to_bytes(g_steal_pointer(&received->body));
+    g_autoptr(GBytes) body = mv_http_body_take(&received->body);
     const mv_http_request request = {
         .method = method, .path = path, .body = body, .received_us = received->received_us};
     received->response.status = MV_HTTP_STATUS_INTERNAL_ERROR;
@@ -205,60 +195,18 @@
 
 /* --- bodies --- */
 
-/* Frees the part of the body that was received. The rest of the body is received and dropped, so
- * that the client finishes sending and then reads the response. */
-static void drop_body(received_request *request, body_verdict verdict)
-{
-    request->verdict = verdict;
-    g_clear_pointer(&request->body, g_byte_array_unref);
-}
-
-/* Returns whether a body that has become large may stay in memory. */
-static bool may_keep_large(mv_http_server *server, received_request *request)
-{
-    if (!request->counts_as_large && server->large_bodies < MV_HTTP_LARGE_BODIES_MAX) {
-        request->counts_as_large = true;
-        server->large_bodies++;
-    }
-    return request->counts_as_large;
-}
-
-static void append_to_body(mv_http_server *server, received_request *request, const char *data,
-                           size_t size)
-{
-    request->received_bytes += size;
-    if (!request->body)
-        return;
-    if (request->received_bytes > MV_BODY_RECEIVED_BYTES_MAX)
-        drop_body(request, BODY_TOO_LARGE);
-    else if (request->received_bytes > MV_BODY_BYTES_MAX && !may_keep_large(server, request))
-        drop_body(request, BODY_NOT_READ);
-    else
-        g_byte_array_append(request->body, (const guint8 *)data, (guint)size);
-}
-
-/* Decides whether the whole body is within the limit of the protocol, which counts the JSON form.
- */
-static void check_body(received_request *request)
-{
-    const bool may_exceed =
-        request->received_bytes * MV_JSON_EXPANSION_MAX > (size_t)MV_BODY_BYTES_MAX;
-    if (request->body && may_exceed &&
-        mv_json_exceeds(request->body->data, request->body->len, MV_BODY_BYTES_MAX))
-        drop_body(request, BODY_TOO_LARGE);
-}
-
 /* Fills in the response to a request whose body was not accepted. */
 static void reject_body(const mv_http_server *server, const char *method, const char *path,
                         received_request *request)
 {
-    if (request->verdict == BODY_TOO_LARGE)
+    const bool too_large = request->body.verdict == MV_BODY_TOO_LARGE;
+    if (too_large)
         server->handler.body_too_large(&request->response);
     else
         server->handler.overloaded(method, path, &request->response);
     mv_log_limited(MV_LOG_INFO, "body_rejected", "method=%s bytes=%zu limit=%d reason=%s", method,
-                   request->received_bytes, MV_BODY_BYTES_MAX,
-                   request->verdict == BODY_TOO_LARGE ? "too_large" : "too_many_large");
+                   request->body.received_bytes, MV_BODY_BYTES_MAX,
+                   too_large ? "too_large" : "too_many_large");
 }
 
 /* --- dispatch --- */
@@ -269,8 +217,7 @@
 static enum MHD_Result dispatch(mv_http_server *server, struct MHD_Connection *connection,
                                 const char *method, const char *path, received_request *request)
 {
-    check_body(request);
-    if (request->verdict != BODY_ACCEPTED) {
+    if (mv_http_body_complete(&request->body) != MV_BODY_ACCEPTED) {
         reject_body(server, method, path, request);
     } else if (server->handler.is_nonblocking(method, path)) {
         answer(server, method, path, request);
@@ -297,13 +244,13 @@
     (void)version;
     if (!request) {
         request = g_new0(received_request, 1);
-        request->body = g_byte_array_new();
+        mv_http_body_init(&request->body);
         request->received_us = g_get_monotonic_time();
         *slot = request;
         return MHD_YES;
     }
     if (*size) {
-        append_to_body(server, request, data, *size);
+        mv_http_body_append(&request->body, &server->large_bodies, data, *size);
         *size = 0;
         return MHD_YES;
     }
@@ -339,9 +286,7 @@
     (void)reason;
     if (!request)
         return;
-    if (request->counts_as_large)
-        server->large_bodies--;
-    g_clear_pointer(&request->body, g_byte_array_unref);
+    mv_http_body_clear(&request->body, &server->large_bodies);
     g_clear_pointer(&request->response.body, g_bytes_unref);
     g_free(request->method);
     g_free(request->path);
--- a/tests/test_request_pool.c
+++ b/tests/test_request_pool.c
@@ -35,7 +35,7 @@
 
 static int get_status(mv_request_pool *pool, unsigned timeout_ms)
 {
-    const mv_http_request request = {.method = "GET", .path = "/", .timeout_ms = timeout_ms};
+    const mv_pool_request request = {.method = "GET", .path = "/", .timeout_ms = timeout_ms};
     mv_http_result result;
     mv_request_pool_call(pool, &request, &result);
     const int status = result.status;
