In an outage no controller becomes unhealthy because polls wait too long

A poll that had waited at a controller until its user gave up counted against its health also while no peer reaches the state service. Then all controllers could leave the load balancer together, which helps no user and delays the return after the outage.

--- a/src/server/request_forwarder.c
+++ b/src/server/request_forwarder.c
@@ -51,9 +51,18 @@
     pthread_mutex_unlock(&forwarder->lock);
 }
 
+static bool any_peer_may_serve(const mv_request_forwarder *forwarder)
+{
+    for (size_t i = 0; i < forwarder->settings->peer_count; i++)
+        if (mv_peer_health_state(forwarder->health, i) >= MV_PEER_UNCHECKED)
+            return true;
+    return false;
+}
+
 void mv_request_forwarder_missed(mv_request_forwarder *forwarder)
 {
-    record_request(forwarder, false);
+    if (any_peer_may_serve(forwarder))
+        record_request(forwarder, false);
 }
 
 bool mv_request_forwarder_is_failing(mv_request_forwarder *forwarder)
--- a/src/server/request_forwarder.h
+++ b/src/server/request_forwarder.h
@@ -45,7 +45,8 @@
                                   mv_http_response *response);
 /**
  * Counts a request that could not be forwarded, because it had waited at this controller until its
- * user gave up.
+ * user gave up. In an outage of the state service, in which no peer would serve it, the request is
+ * not counted.
  */
 void mv_request_forwarder_missed(mv_request_forwarder *forwarder);
 /**
--- a/src/transport/http_body.h
+++ b/src/transport/http_body.h
@@ -28,9 +28,9 @@
 void mv_http_body_init(mv_http_body *body);
 
 /**
- * Adds a chunk of the body. `large_bodies` is the number of bodies over MV_BODY_BYTES_MAX that are in
- * memory, and is increased if this body becomes one of them. The rest of a body that is not accepted
- * is dropped, so that the client finishes sending and then reads the response.
+ * Adds a chunk of the body. `large_bodies` is the number of bodies over MV_BODY_BYTES_MAX that are
+ * in memory, and is increased if this body becomes one of them. The rest of a body that is not
+ * accepted is dropped, so that the client finishes sending and then reads the response.
  */
 void mv_http_body_append(mv_http_body *body, unsigned *large_bodies, const char *data, size_t size);
 
