Forwarding: fewer connections to each peer where a controller has few sockets

Connections for forwarded requests were bounded by a number alone. A controller keeps 8% of its sockets for its own requests; with few sockets in all, 24 connections to each peer could have taken those of its session at the state service. Now also 2% of max_connections for each peer.

--- a/src/constants.h
+++ b/src/constants.h
@@ -901,6 +901,8 @@
  * accept 64 connections.
  */
 #define MV_FORWARD_CONNECTIONS_MAX 24u
+/** Share of all sockets for the connections to each peer for forwarded requests. */
+#define MV_FORWARD_SOCKET_SHARE 0.02
 /** Maximum number of connections to each peer for cancellations that need an acknowledgement. */
 #define MV_CANCEL_CONNECTIONS_MAX 4u
 /** A connection to a peer that no message has used for this long is closed by the next message. */
--- a/src/server/request_forwarder.c
+++ b/src/server/request_forwarder.c
@@ -23,10 +23,17 @@
     mv_forwarding_record record;
 };
 
+/* The sockets that a controller keeps for its own requests are few if it has few in all. */
+static unsigned connections_to_each_peer(const mv_settings *settings)
+{
+    const double share = settings->max_connections * MV_FORWARD_SOCKET_SHARE;
+    return (unsigned)CLAMP(share, 1, MV_FORWARD_CONNECTIONS_MAX);
+}
+
 mv_request_forwarder *mv_request_forwarder_new(const mv_settings *settings,
                                                const mv_peer_health *health)
 {
-    const mv_peer_limits limits = {.connections = MV_FORWARD_CONNECTIONS_MAX};
+    const mv_peer_limits limits = {.connections = connections_to_each_peer(settings)};
     mv_request_forwarder *forwarder = g_new0(mv_request_forwarder, 1);
     forwarder->settings = settings;
     forwarder->health = health;
--- a/src/server/request_forwarder.h
+++ b/src/server/request_forwarder.h
@@ -1,7 +1,8 @@
 /**
  * Forwards users' requests that this controller cannot serve to its peers.
  *
- * Up to MV_FORWARD_CONNECTIONS_MAX requests are in flight to each peer at the same time. A peer may
+ * Up to MV_FORWARD_CONNECTIONS_MAX requests, or fewer if this controller has few sockets, are in
+ * flight to each peer at the same time. A peer may
  * answer a poll only after its next watch, so requests that waited for one another would not be
  * answered before their users give up.
  *
